Log what ends badly by request id, its grounds, and counts every 5 s

Counters of outcomes, connections and probes every 5 s; a line for each refused or failed request with its attempts and why they broke; the grounds of a refusal once a second.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -70,6 +70,8 @@
 const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
+/// The grounds of a refusal are told this often at most.
+const EXPLAIN_EVERY: Millis = 1_000.0;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
 
@@ -152,8 +154,43 @@
         let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
         match by_use.into_iter().flatten().find(|c| self.admits(c)) {
             Some(chosen) => self.send(request, chosen, candidates.len() > 1, out),
-            None => self.give_up(request, out),
+            None => {
+                self.explain(request, &held, &candidates, out);
+                self.give_up(request, out);
+            }
+        }
+    }
+
+    /// Tells at most once a second on what grounds a request found no server.
+    fn explain(&mut self, request: RequestId, held: &Held, candidates: &[Candidate], out: &mut Vec<Action>) {
+        if self.now < self.seen.explained_at + EXPLAIN_EVERY {
+            return;
         }
+        self.seen.explained_at = self.now;
+        let count = |which: fn(&Candidate) -> bool| candidates.iter().filter(|c| which(c)).count();
+        let least = |of: fn(&Candidate) -> f64| candidates.iter().map(of).fold(f64::INFINITY, f64::min);
+        let seen = &self.seen;
+        out.push(Action::Log(format!(
+            "request {} has no place: aim_left={:.0} room={:.0} held={} tries={} servers={} healthy={} idle={} \
+             least wait={:.0} depth={:.2}; service={:.0} room_scale={:.2} refused={:.2} late_reports={:.2} \
+             pace={:.2} kappa={:.2}",
+            request.0,
+            self.aim_left(held),
+            self.room(held) * self.aim_left(held),
+            held.holds,
+            held.tries.len(),
+            candidates.len(),
+            count(|c| c.healthy),
+            count(|c| c.idle),
+            least(|c| c.wait),
+            least(|c| c.depth),
+            seen.service[held.class.0].time,
+            seen.room_scale,
+            seen.refused,
+            seen.lateness,
+            seen.fleet.pace,
+            seen.fleet.in_flight / seen.fleet.utilisation,
+        )));
     }
 
     /// Whether a server may be sent one more while it is cold. An equal part of its budget is less than one
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -87,6 +87,13 @@
     pub body: Bytes,
 }
 
+impl Forward {
+    /// The client's id of the request.
+    pub fn id(&self) -> &str {
+        self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("?")
+    }
+}
+
 /// A request for the driver.
 pub struct Arrival {
     /// The id the module knows it by.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::client::{Arrival, Final, Forward, Front, end_to_end};
+use super::counters::{Counters, name_of};
 use super::discovery::{AbortOnDrop, Health, Host, HostList, Watch};
 use super::log;
 use super::upstream::{Answer, Connection, End, Permits, Pool, Source, attempt, probe};
@@ -27,6 +28,8 @@
 const BACKSTOP: Duration = Duration::from_millis(4);
 /// A probe that has not come back by then says nothing: servers answer them beside their queue.
 const PROBE_TIME: Duration = Duration::from_millis(150);
+/// How often a line tells what was done.
+const REPORT: Duration = Duration::from_secs(5);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(500);
 /// Idle connections are closed after this share of the time that upstreams keep them: one that is written to
@@ -103,8 +106,11 @@
     forward: Arc<Forward>,
     reply: oneshot::Sender<Final>,
     sends: u32,
+    at: Instant,
     deadline: Instant,
     timer: (Instant, u64),
+    /// How its attempts have ended, for the log.
+    trail: String,
 }
 
 /// An upstream that discovery named.
@@ -121,6 +127,7 @@
     Wake(u64),
     Backstop(RequestId),
     Sweep,
+    Report,
 }
 
 /// The driver.
@@ -147,6 +154,7 @@
     next_timer: u64,
     permits: Permits,
     actions: Vec<Action>,
+    counters: Counters,
 }
 
 impl Driver {
@@ -185,6 +193,7 @@
             next_timer: 0,
             permits: Arc::new(Semaphore::new(max_connections)),
             actions: Vec::new(),
+            counters: Counters::default(),
             settings,
         }
     }
@@ -197,6 +206,7 @@
             self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().keep())));
         }
         self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
+        self.set_timer(Instant::now() + REPORT, Timer::Report);
         loop {
             let due = self.timers.keys().next().map(|key| key.0);
             tokio::select! {
@@ -235,6 +245,7 @@
                 Timer::Wake(token) => self.event(Event::Woke(token)),
                 Timer::Backstop(request) => {
                     // The module answers in time unless it is at fault or the process was held up.
+                    self.counters.overdue += u32::from(self.open.contains_key(&request));
                     self.finish(request, Final::Failed);
                     self.leave(request);
                 }
@@ -243,10 +254,25 @@
                     self.servers.values_mut().for_each(|server| server.pool.sweep(limit));
                     self.set_timer(now + SWEEP, Timer::Sweep);
                 }
+                Timer::Report => {
+                    self.report();
+                    self.set_timer(now + REPORT, Timer::Report);
+                }
             }
         }
     }
 
+    /// Tells what was done since the last such line.
+    fn report(&mut self) {
+        let counters = std::mem::take(&mut self.counters);
+        if !counters.is_idle() {
+            let clients = self.front.connections.load(Ordering::Relaxed);
+            let idle: usize = self.servers.values().map(|server| server.pool.len()).sum();
+            let (open, out) = (self.open.len(), self.sent.len());
+            log::rare(format!("{counters}; now open={open} out={out} clients={clients} idle={idle}"));
+        }
+    }
+
     fn idle_limit(&self) -> Duration {
         Duration::from_secs_f64(self.settings.keepalive_ms() * IDLE_SHARE / 1e3)
     }
@@ -267,6 +293,7 @@
             Happening::Arrived(arrival) => self.arrived(*arrival),
             Happening::ClientLeft(request) => {
                 if let Some(open) = self.open.remove(&request) {
+                    self.counters.left += 1;
                     self.timers.remove(&open.timer);
                 }
                 self.leave(request);
@@ -275,10 +302,12 @@
             Happening::Ended { flight, end } => self.ended(flight, end),
             Happening::Idle { upstream, life, connection } => self.put_back(upstream, life, *connection),
             Happening::Probed { upstream, answer } => {
-                let answered = answer.as_ref().is_some_and(|answer| answer.status == 200);
+                let status = answer.as_ref().map(|answer| answer.status.as_u16());
+                let answered = status == Some(200);
                 let text = answer.filter(|_| answered);
                 let text = text.as_ref().and_then(|answer| std::str::from_utf8(&answer.body).ok());
                 let report = text.and_then(|text| report_from_text(&self.columns, text));
+                self.counters.probe_ended(status, report.is_some());
                 self.event(Event::Probed { upstream, answered, report });
             }
             Happening::Listed(list) => self.listed(&list, false),
@@ -293,7 +322,9 @@
         let Arrival { request, class, tenant, at, time_left, forward, reply } = arrival;
         let deadline = at + time_left.saturating_sub(IN_HAND);
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
-        let open = Open { forward: Arc::new(forward), reply, sends: 0, deadline, timer };
+        self.counters.arrived += 1;
+        let open =
+            Open { forward: Arc::new(forward), reply, sends: 0, at, deadline, timer, trail: String::new() };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left });
@@ -316,6 +347,15 @@
     fn finish(&mut self, request: RequestId, answer: Final) -> bool {
         let Some(open) = self.open.remove(&request) else { return false };
         self.timers.remove(&open.timer);
+        match &answer {
+            Final::Served(..) => self.counters.served += 1,
+            Final::Refused(_) => self.counters.refused += 1,
+            Final::Failed => self.counters.failed += 1,
+        }
+        if !matches!(answer, Final::Served(..)) {
+            self.counters.unsent += u32::from(open.sends == 0);
+            log::line(open.obituary(&answer));
+        }
         // The client may have gone in this very moment.
         open.reply.send(answer).is_ok()
     }
@@ -343,7 +383,7 @@
             Action::Subscribe => {
                 self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().ask())));
             }
-            Action::Log(text) => log::line(text),
+            Action::Log(text) => log::rare(text),
         }
     }
 
@@ -372,6 +412,7 @@
             return self.end_later(flight, Outcome::NotSent);
         };
         if let Some(connection) = server.pool.take(limit) {
+            self.counters.reused += 1;
             return self.write(flight, connection);
         }
         let dial = server.dial;
@@ -394,12 +435,20 @@
 
     /// The right to one more connection; an idle one is closed for it if need be.
     fn permit(&mut self) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        self.counters.opened += 1;
         if let Ok(permit) = self.permits.clone().try_acquire_owned() {
             return Some(permit);
         }
         let pools = self.servers.values_mut().map(|server| &mut server.pool);
-        pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest())?.drop_oldest();
-        self.permits.clone().try_acquire_owned().ok()
+        if let Some(pool) = pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest()) {
+            pool.drop_oldest();
+        }
+        let permit = self.permits.clone().try_acquire_owned().ok();
+        if permit.is_none() {
+            self.counters.opened -= 1;
+            self.counters.no_descriptor += 1;
+        }
+        permit
     }
 
     fn connected(&mut self, flight: Flight, connection: Result<Box<Connection>, String>) {
@@ -456,10 +505,16 @@
 
     fn ended(&mut self, flight: Flight, end: End) {
         let key = (flight.request, flight.attempt);
+        let mut reason = None;
         let (outcome, answer) = match end {
             End::Outcome(outcome, answer) => (outcome, answer),
+            End::Broken(outcome, why) => {
+                reason = Some(why);
+                (outcome, None)
+            }
             // Nothing was written: the same attempt goes on over another connection, if it still may.
             End::Stale => {
+                self.counters.stale += 1;
                 let wanted = self.sent.get(&key).is_some_and(|sent| sent.give_up.is_some());
                 if wanted && Instant::now() < flight.until {
                     return self.start(flight);
@@ -469,6 +524,10 @@
         };
         let Some(sent) = self.sent.remove(&key) else { return };
         let latency = sent.at.elapsed().as_secs_f64() * 1e3;
+        self.counters.ended(outcome);
+        if outcome != Outcome::Ok {
+            self.remember(flight, outcome, latency, answer.as_ref().map(|a| a.status), reason.as_deref());
+        }
         let report = answer.as_ref().and_then(|answer| {
             let text = answer.headers.get("x-server-load").filter(|_| self.settings.reports_in_answers())?;
             report_from_text(&self.columns, text.to_str().ok()?)
@@ -490,6 +549,22 @@
         }));
     }
 
+    /// Notes an attempt that did not serve its request with it.
+    fn remember(
+        &mut self,
+        flight: Flight,
+        outcome: Outcome,
+        latency: Millis,
+        status: Option<StatusCode>,
+        reason: Option<&str>,
+    ) {
+        let host = self.servers.get(&flight.upstream).map_or("?", |server| &server.host);
+        let Some(open) = self.open.get_mut(&flight.request) else { return };
+        let status = status.map(|status| format!(" {}", status.as_u16())).unwrap_or_default();
+        let reason = reason.map(|reason| format!(" ({reason})")).unwrap_or_default();
+        open.trail += &format!(" {host} {}{status} {latency:.0} ms{reason}", name_of(outcome));
+    }
+
     fn put_back(&mut self, upstream: UpstreamId, life: u64, connection: Connection) {
         let Some(server) = self.servers.get_mut(&upstream) else { return };
         if server.life == life && server.listing.lifecycle == Lifecycle::Serving && connection.is_usable() {
@@ -506,8 +581,12 @@
             return;
         };
         let (dial, life) = (server.dial, server.life);
+        self.counters.probes += 1;
         let source = match server.pool.take(limit) {
-            Some(connection) => Source::Idle(Box::new(connection)),
+            Some(connection) => {
+                self.counters.reused += 1;
+                Source::Idle(Box::new(connection))
+            }
             None => match self.permit() {
                 Some(permit) => {
                     let by = now + Duration::from_secs_f64(self.settings.connect_timeout_ms() / 1e3);
@@ -609,6 +688,19 @@
     }
 }
 
+impl Open {
+    /// The line about a request that was not served.
+    fn obituary(&self, answer: &Final) -> String {
+        let id = self.forward.id();
+        let path = self.forward.target.path();
+        let end = if matches!(answer, Final::Failed) { "failed" } else { "refused" };
+        let after = self.at.elapsed().as_millis();
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let trail = if self.trail.is_empty() { " no attempt" } else { &self.trail };
+        format!("request {id} {path}: {end} after {after} ms, {left} ms left;{trail}")
+    }
+}
+
 /// The request as it goes to an upstream.
 fn outgoing(forward: &Forward, dial: Option<SocketAddr>, until: Instant) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(forward.body.clone()));
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -8,12 +8,17 @@
 /// Lines a second. What a broken peer can cause must not fill the disk that holds the log.
 const LINES_A_SECOND: u32 = 20;
 /// Longer lines are cut: part of them may come from the network.
-const LINE_BYTES: usize = 300;
+const LINE_BYTES: usize = 400;
 
 thread_local! {
     static WINDOW: Cell<Option<(Instant, u32)>> = const { Cell::new(None) };
 }
 
+/// Writes one line in any case: for what is rare by itself, and wanted most while other lines are left out.
+pub fn rare(text: impl Display) {
+    write(&text.to_string());
+}
+
 /// Writes one line, unless too many were written in this second.
 pub fn line(text: impl Display) {
     let now = Instant::now();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod config;
 pub mod counted;
+pub mod counters;
 pub mod discovery;
 pub mod driver;
 pub mod log;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -17,7 +17,6 @@
 
 use super::counted::{Counted, Written};
 use super::driver::{Flight, Happening};
-use super::log;
 
 /// Bodies hold at most this much, both ways.
 pub const BODY_BYTES: usize = 64 << 10;
@@ -104,9 +103,9 @@
 /// Why there is no answer.
 enum Broken {
     /// The request's last byte was never written: it has not run.
-    Unsent,
+    Unsent(hyper::Error),
     /// It may have run.
-    Cut,
+    Cut(hyper::Error),
     /// An answer came that is too long to take.
     TooLong,
 }
@@ -127,13 +126,13 @@
     written: &Written,
     complete_at: u64,
 ) -> Result<Answer, Broken> {
-    let broken = || if written.get() < complete_at { Broken::Unsent } else { Broken::Cut };
-    let response = sender.send_request(request).await.map_err(|_| broken())?;
+    let broken = |error| if written.get() < complete_at { Broken::Unsent(error) } else { Broken::Cut(error) };
+    let response = sender.send_request(request).await.map_err(broken)?;
     let (head, body): (_, hyper::body::Incoming) = Response::into_parts(response);
     match Limited::new(body, BODY_BYTES).collect().await {
         Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() }),
-        Err(error) if error.is::<LengthLimitError>() => Err(Broken::TooLong),
-        Err(_) => Err(broken()),
+        // What is not the body's own error is its length.
+        Err(error) => Err(error.downcast().map_or(Broken::TooLong, |error| broken(*error))),
     }
 }
 
@@ -148,10 +147,20 @@
     }
 }
 
+/// An error with what caused it.
+fn explain(error: &hyper::Error) -> String {
+    match std::error::Error::source(error) {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
+    }
+}
+
 /// What an attempt came to.
 pub enum End {
     /// It ended so, with the answer if one came.
     Outcome(Outcome, Option<Answer>),
+    /// It broke so, for this reason.
+    Broken(Outcome, String),
     /// The idle connection had been closed and no byte was written to it: another may be used.
     Stale,
 }
@@ -174,12 +183,15 @@
             biased;
             result = exchange => match result {
                 Ok(answer) => (End::Outcome(outcome_of(&answer), Some(answer)), true),
-                Err(Broken::Unsent) if connection.used && written.get() == before => (End::Stale, false),
-                Err(Broken::Unsent) => (End::Outcome(Outcome::Unreachable, None), false),
-                Err(Broken::Cut) => (End::Outcome(Outcome::Reset, None), false),
+                Err(Broken::Unsent(_)) if connection.used && written.get() == before => (End::Stale, false),
+                Err(Broken::Unsent(error)) => (End::Broken(Outcome::Unreachable, explain(&error)), false),
+                Err(Broken::Cut(error)) => {
+                    let what = if connection.used { "a used connection" } else { "a new connection" };
+                    let reason = format!("{what} broke: {}", explain(&error));
+                    (End::Broken(Outcome::Reset, reason), false)
+                }
                 Err(Broken::TooLong) => {
-                    log::line(format!("upstream {}: an answer is longer than {BODY_BYTES} bytes", flight.upstream.0));
-                    (End::Outcome(Outcome::Error, None), false)
+                    (End::Broken(Outcome::Error, format!("an answer longer than {BODY_BYTES} bytes")), false)
                 }
             },
             _ = give_up => (End::Outcome(Outcome::Cancelled, None), false),
@@ -276,6 +288,11 @@
         self.idle.retain(|c| c.is_usable() && c.idle_since.elapsed() < idle_limit);
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.idle.len()
+    }
+
     /// Since when the one longest idle has been so.
     pub fn oldest(&self) -> Option<Instant> {
         self.idle.first().map(|connection| connection.idle_since)
--- a/src/state.rs
+++ b/src/state.rs
@@ -136,6 +136,8 @@
     /// The span over which the next call to discovery is spread, and whether one is to come.
     pub ask_wait: Millis,
     pub ask_pending: bool,
+    /// When the grounds of a refusal were last told.
+    pub explained_at: Millis,
 }
 
 impl Learnt {
@@ -153,6 +155,7 @@
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
+            explained_at: f64::NEG_INFINITY,
         }
     }
 }
