--- a/src/brain.rs
+++ b/src/brain.rs
@@ -171,9 +171,9 @@
         let least = |of: fn(&Candidate) -> f64| candidates.iter().map(of).fold(f64::INFINITY, f64::min);
         let seen = &self.seen;
         out.push(Action::Log(format!(
-            "request {} has no place: aim_left={:.0} room={:.0} held={} tries={} servers={} healthy={} idle={} \
-             least wait={:.0} depth={:.2}; service={:.0} room_scale={:.2} refused={:.2} late_reports={:.2} \
-             pace={:.2} kappa={:.2}",
+            "request {} has no place: aim_left={:.0} room={:.0} held={} tries={} servers={} healthy={} \
+             idle={} least wait={:.0} depth={:.2}; service={:.0} room_scale={:.2} refused={:.2} \
+             late_reports={:.2} pace={:.2} kappa={:.2}",
             request.0,
             self.aim_left(held),
             self.room(held) * self.aim_left(held),
