--- a/src/brain.rs
+++ b/src/brain.rs
@@ -587,7 +587,8 @@
             Health::Ejected { until, wait } if failed && now >= until => {
                 upstream.health = eject((wait * 2.0).min(EJECT_FOR[1]));
             }
-            Health::Ejected { .. } if !failed && upstream.failure_rate < bar => {
+            // Only a trial brings it back: answers to what was sent before it was ejected still come in.
+            Health::Ejected { until, .. } if !failed && now >= until && upstream.failure_rate < bar => {
                 upstream.health = Health::Ready;
                 out.push(Action::Log(format!("server {} is back after trials", id.0)));
             }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -42,6 +42,28 @@
     assert!(back > 100, "{back} of 2,000 after it had recovered");
 }
 
+/// Guards against flapping: the answer to a send from before the ejection once ended it in the same millisecond.
+#[test]
+fn answers_to_earlier_sends_do_not_end_an_ejection() {
+    let mut stage = Stage::new(settings(), (1..=5).map(listing).collect());
+    stage.settle(&[1, 2, 3, 4, 5], 1.0, 0.1);
+    let mut out = Vec::new();
+    for _ in 0..60 {
+        let (request, actions) = stage.arrive(REPEATABLE);
+        out.extend(sent_to(&actions).filter(|to| to.0 == 1).map(|_| request));
+    }
+    assert!(out.len() >= 8, "{} sends to the first", out.len());
+    let mut logs = Vec::new();
+    for (number, request) in out.into_iter().enumerate() {
+        stage.now += 1.0;
+        let outcome = if number < 5 { Outcome::Reset } else { Outcome::Ok };
+        logs.extend(stage.finish(request, 0, UpstreamId(1), outcome, 20.0));
+    }
+    let told = |text: &str| logs.iter().any(|a| matches!(a, Action::Log(line) if line.contains(text)));
+    assert!(told("ejected"), "five resets in a row");
+    assert!(!told("is back"), "nothing was tried since");
+}
+
 /// Guards against ejecting everyone when the network or we ourselves are at fault.
 #[test]
 fn not_all_are_ejected() {
