Reread the configuration on SIGHUP and watch the new discovery address

SIGHUP ended the program: no handler was set, and a sidecar that ends on it has crashed. The driver now moves a running watch to the new address at once, so that news keep coming; a file that cannot be read leaves the old one in force.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,7 @@
 
 use net::client::{self, Front, Names, Phase};
 use net::config::Config;
-use net::driver::Driver;
+use net::driver::{Driver, Happening};
 use net::log;
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
@@ -43,6 +43,7 @@
 async fn sidecar(config: Config) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
+    let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
     let listener = client::listen(config.listen)?;
     let address = listener.local_addr().context("the listener has no address")?;
     log::line(format!("listening on {address}"));
@@ -51,17 +52,20 @@
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
-    let front = Arc::new(Front::new(names, phases, happenings));
+    let front = Arc::new(Front::new(names, phases, happenings.clone()));
     let each = config.limits.connections();
     let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, each);
-    let driver = tokio::spawn(driver.run(config.known));
+    let mut driver = tokio::spawn(driver.run(config.known));
     let serving = tokio::spawn(client::serve(listener, front, each));
 
-    tokio::select! {
-        _ = terminate.recv() => log::line("SIGTERM: finishing what is held"),
-        _ = interrupt.recv() => log::line("SIGINT: finishing what is held"),
-        // It never ends by itself. Without it nothing is answered: better to be started anew.
-        _ = driver => bail!("the driver has failed"),
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break log::line("SIGTERM: finishing what is held"),
+            _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
+            _ = hang_up.recv() => reread(&happenings),
+            // It never ends by itself. Without it nothing is answered: better to be started anew.
+            _ = &mut driver => bail!("the driver has failed"),
+        }
     }
     phase.send_replace(Phase::Leaving);
     sleep(STILL_COMING).await;
@@ -71,3 +75,15 @@
     }
     Ok(())
 }
+
+/// Reads the configuration again and tells the driver what may change while it runs. A file that cannot be used
+/// is no reason to stop serving by the one that could.
+fn reread(happenings: &mpsc::UnboundedSender<Happening>) {
+    match Config::from_env() {
+        Ok(config) => {
+            log::line(format!("SIGHUP: discovery is at {}", config.discovery));
+            let _ = happenings.send(Happening::Reconfigured { discovery: config.discovery });
+        }
+        Err(error) => log::line(format!("SIGHUP: the configuration stays as it was: {error:#}")),
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -86,6 +86,11 @@
     },
     /// Discovery told something.
     Listed(HostList),
+    /// The configuration was read again.
+    Reconfigured {
+        /// Where discovery is now.
+        discovery: SocketAddr,
+    },
     /// A call to discovery failed or the watch ended.
     DiscoveryFailed {
         /// The version to go on from: 0 if something was missed.
@@ -203,7 +208,7 @@
         let known = known.unwrap_or(HostList { seq: 0, whole: true, hosts: Vec::new() });
         self.listed(&known, true);
         if !self.subscribed {
-            self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().keep())));
+            self.watch = Some(self.start_watch());
         }
         self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
         self.set_timer(Instant::now() + REPORT, Timer::Report);
@@ -221,8 +226,11 @@
         }
     }
 
-    fn new_watch(&self) -> Watch {
-        Watch { address: self.discovery, seq: self.seq, news: self.happenings.clone(), missed: false }
+    /// Watches for good where news come by themselves, else until the watch ends.
+    fn start_watch(&self) -> AbortOnDrop {
+        let (address, seq, news) = (self.discovery, self.seq, self.happenings.clone());
+        let watch = Watch { address, seq, news, missed: false };
+        AbortOnDrop(if self.subscribed { tokio::spawn(watch.ask()) } else { tokio::spawn(watch.keep()) })
     }
 
     /// The module's clock.
@@ -311,6 +319,14 @@
                 self.event(Event::Probed { upstream, answered, report });
             }
             Happening::Listed(list) => self.listed(&list, false),
+            Happening::Reconfigured { discovery } => {
+                self.discovery = discovery;
+                // The old address ends its watches soon, and tells nothing more by then. A watch that has
+                // ended already is the module's to ask for again.
+                if self.watch.as_ref().is_some_and(|watch| !watch.0.is_finished()) {
+                    self.watch = Some(self.start_watch());
+                }
+            }
             Happening::DiscoveryFailed { seq } => {
                 self.seq = seq;
                 self.event(Event::Listed(ListNews::Unavailable));
@@ -381,7 +397,7 @@
                 self.set_timer(at, Timer::Wake(token));
             }
             Action::Subscribe => {
-                self.watch = Some(AbortOnDrop(tokio::spawn(self.new_watch().ask())));
+                self.watch = Some(self.start_watch());
             }
             Action::Log(text) => log::rare(text),
         }
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -276,30 +276,33 @@
     pub child: Child,
     pub address: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
+    /// Its configuration file.
+    pub path: std::path::PathBuf,
 }
 
 static FILES: AtomicUsize = AtomicUsize::new(0);
 
 /// Starts the program on a configuration, with its standard error piped.
 pub fn spawn(config: &str) -> Child {
-    spawn_with(config, None)
+    spawn_with(config, None).0
 }
 
 /// The same with a limit on its descriptors.
-fn spawn_with(config: &str, descriptors: Option<u32>) -> Child {
+fn spawn_with(config: &str, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("sagemast-{}-{number}.json", std::process::id());
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, config).unwrap();
     let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
-    Command::new("sh")
+    let child = Command::new("sh")
         .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_sagemast")])
         .env("ROUTER_CONFIG", &path)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()
-        .unwrap()
+        .unwrap();
+    (child, path)
 }
 
 impl Sidecar {
@@ -310,7 +313,7 @@
 
     /// The same with a limit on its descriptors.
     pub fn start_with(config: &str, descriptors: Option<u32>) -> Sidecar {
-        let mut child = spawn_with(config, descriptors);
+        let (mut child, path) = spawn_with(config, descriptors);
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
@@ -327,7 +330,7 @@
             address = said.and_then(|at| at.trim().parse().ok());
             address.is_some()
         });
-        Sidecar { child, address: address.unwrap(), log }
+        Sidecar { child, address: address.unwrap(), log, path }
     }
 
     /// Starts it with these upstreams and waits until it is up.
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -500,3 +500,29 @@
     assert_eq!(client.read().expect("an answer").body, b"elsewhere");
     assert_eq!(written.load(Ordering::SeqCst), 0);
 }
+
+/// Guards against ending on SIGHUP, and against staying with a discovery that has moved.
+#[test]
+fn sighup_moves_to_the_new_discovery_address() {
+    for mode in ["automatic", "subscribe"] {
+        let [a, b] = [0, 1].map(|_| Upstream::new(|_| Deed::ok("served")));
+        let settings = SETTINGS.replace("automatic", mode);
+        let (mut sidecar, old) = Sidecar::with_settings(&[&a], &settings);
+        until("it watches", || old.watches().len() == 1);
+        let new = Discovery::new(&list(9, true, &[entry("b", b.address, "ready")]));
+        // A file that cannot be used changes nothing.
+        std::fs::write(&sidecar.path, "{").unwrap();
+        sidecar.signal("-HUP");
+        until("it has read it", || sidecar.log.lock().unwrap().iter().any(|line| line.contains("as it was")));
+        std::fs::write(&sidecar.path, config("127.0.0.1:0", new.address, &ready(&[&a]), 1024, &settings))
+            .unwrap();
+        sidecar.signal("-HUP");
+        until("it watches there", || new.watches().len() == 1);
+        assert!(sidecar.child.try_wait().unwrap().is_none(), "it runs on");
+        let mut client = Client::to(sidecar.address);
+        until("the new list is taken over", || {
+            client.ask("fetch").status() == 200 && !b.requests().is_empty()
+        });
+        assert_eq!(old.watches().len(), 1, "the old address is left alone");
+    }
+}
