--- a/src/main.rs
+++ b/src/main.rs
@@ -53,10 +53,10 @@
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
     let front = Arc::new(Front::new(names, phases, happenings.clone()));
-    let each = config.limits.connections();
-    let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, each);
+    let (clients, upstreams) = (config.limits.clients(), config.limits.upstreams());
+    let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams);
     let mut driver = tokio::spawn(driver.run(config.known));
-    let serving = tokio::spawn(client::serve(listener, front, each));
+    let serving = tokio::spawn(client::serve(listener, front, clients));
 
     loop {
         tokio::select! {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -12,12 +12,12 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sagemast::api::*;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::driver::Happening;
 use super::log;
@@ -33,8 +33,9 @@
 const IDLE_CROWDED: Duration = Duration::from_secs(2);
 /// The same once the sidecar ends and only sweeps up.
 const IDLE_AT_END: Duration = Duration::from_millis(150);
-/// A body must come in this time.
-const BODY_TIME: Duration = Duration::from_secs(5);
+/// Whoever connects is owed an error or a close within 3 s, unless a whole request has come: so long the first
+/// one may take, from the connection on, and the body of a later one.
+const REQUEST_TIME: Duration = Duration::from_millis(2_500);
 /// The wait after a failed accept: out of descriptors, a busy loop would starve those who could free some.
 const ACCEPT_BACK_OFF: Duration = Duration::from_millis(20);
 /// A longer time-out is absurd.
@@ -195,12 +196,14 @@
     let _ = stream.set_nodelay(true);
     let mut phase = front.phase.clone();
     let now = *phase.borrow_and_update();
+    let opened = Instant::now();
     let heard = AtomicBool::new(false);
     let service = service_fn(|request| {
-        heard.store(true, Ordering::Relaxed);
+        let is_first = !heard.swap(true, Ordering::Relaxed);
+        let by = if is_first { opened } else { Instant::now() } + REQUEST_TIME;
         let front = front.clone();
         async move {
-            let mut response = handle(request, &front).await;
+            let mut response = handle(request, &front, by).await;
             if crowded || *front.phase.borrow() > Phase::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -224,6 +227,8 @@
             biased;
             // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
             _ = connection.as_mut() => return,
+            // It connected and has not sent even a head: it is no client, and keeps others out.
+            () = sleep_until(opened + REQUEST_TIME), if !heard.load(Ordering::Relaxed) => return,
             changed = phase.changed() => {
                 let now = *phase.borrow_and_update();
                 // A connection that has carried nothing yet is about to: it gets its one answer while
@@ -258,7 +263,7 @@
 /// What is wrong with a request.
 type Malformed = (StatusCode, &'static str);
 
-async fn handle(request: Request<Incoming>, front: &Front) -> Response<Full<Bytes>> {
+async fn handle(request: Request<Incoming>, front: &Front, by: Instant) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
         let up = front.ready.load(Ordering::Relaxed);
         return match (request.method() == Method::GET, up) {
@@ -272,7 +277,7 @@
         Err((status, reason)) => return plain(status, reason),
     };
     let (head, body) = request.into_parts();
-    let body = match timeout(BODY_TIME, Limited::new(body, BODY_BYTES).collect()).await {
+    let body = match timeout_at(by, Limited::new(body, BODY_BYTES).collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
@@ -323,12 +328,19 @@
         Some(_) => {}
     }
     let keyed = single(headers, "idempotency-key")?.is_some_and(|key| !key.is_empty());
+    // The method tells whether a repeat does harm. One that does not fit its class comes from no client of ours,
+    // and must reach no upstream.
     match (request.method(), names.classes[class].1) {
-        (&Method::GET | &Method::POST, Effect::Repeatable | Effect::Once) => {}
+        (&Method::GET, Effect::Repeatable) | (&Method::POST, Effect::ByKey { .. }) if keyed => {}
+        (&Method::GET, Effect::Repeatable) | (&Method::POST, Effect::Once) if !keyed => {}
         // Without its key upstreams could not drop a repeat.
-        (&Method::GET | &Method::POST, Effect::ByKey { .. }) if keyed => {}
-        (&Method::GET | &Method::POST, _) => return Err(bad("Idempotency-Key is missing")),
-        _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "use GET or POST")),
+        (&Method::POST, Effect::ByKey { .. }) => return Err(bad("Idempotency-Key is missing")),
+        (&Method::POST, Effect::Once) => return Err(bad("Idempotency-Key does not fit the class")),
+        (_, Effect::Repeatable) => return Err((StatusCode::METHOD_NOT_ALLOWED, "use GET")),
+        _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "use POST")),
+    }
+    if request.version() == Version::HTTP_11 && single(headers, "host")?.is_none() {
+        return Err(bad("Host is missing"));
     }
     if single(headers, "x-request-id")?.is_none_or(str::is_empty) {
         return Err(bad("X-Request-ID is missing"));
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -54,10 +54,19 @@
 }
 
 impl Limits {
-    /// How many connections there may be on each side, so that neither descriptors nor memory run out.
-    pub fn connections(&self) -> usize {
-        let by_memory = self.memory_mb.saturating_mul(1024) / CONNECTION_KIB;
-        (self.sockets.saturating_sub(OWN_SOCKETS) / 2).min(by_memory).max(1)
+    /// How many connections clients may hold: a third of the descriptors, so that upstreams never lack any.
+    pub fn clients(&self) -> usize {
+        (self.sockets / 3).min(self.by_memory()).max(1)
+    }
+
+    /// How many connections there may be to upstreams: what clients and the process itself leave.
+    pub fn upstreams(&self) -> usize {
+        (self.sockets - self.sockets / 3).saturating_sub(OWN_SOCKETS).min(self.by_memory()).max(1)
+    }
+
+    /// The connections on one side for which there is memory.
+    fn by_memory(&self) -> usize {
+        self.memory_mb.saturating_mul(1024) / CONNECTION_KIB
     }
 }
 
@@ -113,9 +122,10 @@
     #[test]
     fn a_minimal_configuration_is_enough() {
         let config = Config::parse(MINIMAL.as_bytes()).expect("it holds all that is needed");
-        assert_eq!(config.limits.connections(), 500);
+        assert_eq!(config.limits.clients(), 341, "a third of the descriptors");
+        assert_eq!(config.limits.upstreams(), 659);
         let scarce = Limits { memory_mb: 16, ..config.limits };
-        assert_eq!(scarce.connections(), 64, "memory binds before sockets");
+        assert_eq!((scarce.clients(), scarce.upstreams()), (64, 64), "memory binds before sockets");
         assert!(config.known.is_none());
     }
 
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -196,6 +196,8 @@
         ("X-Timeout-Ms: 5000", "X-Timeout-Ms: 5000\r\nX-Timeout-Ms: 1", 400),
         ("Idempotency-Key", "Other-Key", 400),
         ("POST", "DELETE", 405),
+        ("POST", "GET", 405),
+        ("Host: api.internal\r\n", "", 400),
         ("Content-Length: 5\r\n", &oversized, 413),
         ("HTTP/1.1", "HTP/7", 400),
     ] {
@@ -526,3 +528,40 @@
         assert_eq!(old.watches().len(), 1, "the old address is left alone");
     }
 }
+
+/// Guards against sending on what no client of ours sends, and against peers that hold a connection in silence.
+#[test]
+fn peers_that_send_no_whole_request_are_let_go_within_three_seconds() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let sound = request("log", 5_000);
+    let cuts = [0, 9, sound.len() / 2, sound.len() - 1];
+    let peers: Vec<_> = cuts
+        .into_iter()
+        .map(|cut| {
+            let (text, address) = (sound[..cut].to_owned(), sidecar.address);
+            std::thread::spawn(move || {
+                let mut peer = Client::to(address);
+                let since = std::time::Instant::now();
+                peer.write(text.as_bytes());
+                (peer.read().map(|answer| answer.status()), since.elapsed())
+            })
+        })
+        .collect();
+    for (cut, peer) in cuts.into_iter().zip(peers) {
+        let (status, after) = peer.join().unwrap();
+        assert!(status.is_none_or(|status| status >= 400), "{cut} bytes: {status:?}");
+        assert!(after < Duration::from_secs(5), "{cut} bytes: let go after {after:?}");
+    }
+    for (class, from, to) in [
+        ("bill", "POST", "GET"),
+        ("bill", "X-Request-ID", "Idempotency-Key: 7\r\nX-Request-ID"),
+        ("fetch", "GET", "POST"),
+    ] {
+        let mut peer = Client::to(sidecar.address);
+        peer.write(request(class, 5_000).replacen(from, to, 1).as_bytes());
+        let status = peer.read().expect("an answer").status();
+        assert!((400..500).contains(&status), "{class} as {to}: {status}");
+    }
+    assert_eq!(upstream.requests().len(), 0);
+}
