--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -220,6 +220,7 @@
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let mut is_watched = true;
     loop {
         tokio::select! {
             // First read what has come, then look at the phase: a request that waits in the socket when its
@@ -228,7 +229,12 @@
             // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
             _ = connection.as_mut() => return,
             // It connected and has not sent even a head: it is no client, and keeps others out.
-            () = sleep_until(opened + REQUEST_TIME), if !heard.load(Ordering::Relaxed) => return,
+            () = sleep_until(opened + REQUEST_TIME), if is_watched => {
+                if !heard.load(Ordering::Relaxed) {
+                    return;
+                }
+                is_watched = false;
+            }
             changed = phase.changed() => {
                 let now = *phase.borrow_and_update();
                 // A connection that has carried nothing yet is about to: it gets its one answer while
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -565,3 +565,15 @@
     }
     assert_eq!(upstream.requests().len(), 0);
 }
+
+/// Guards against taking a client for a silent peer: its connection outlasts the time that a first request has.
+#[test]
+fn a_connection_that_was_heard_from_is_kept() {
+    let upstream =
+        Upstream::new(|m| if m.line.starts_with("POST") { Deed::Silence } else { Deed::ok("served") });
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut client = Client::to(sidecar.address);
+    client.send("bill", 3_500);
+    assert_eq!(client.read().expect("an answer once its time is up").status(), 502);
+    assert_eq!(client.ask("fetch").status(), 200, "on the same connection");
+}
