Average what others have in flight over 3 s instead of following one old reading

Reports are refreshed every 0.35 to 1.5 s and come late, and every sidecar reads the same one: by single readings all crowded one server at once, and servers choked. Own sends still count at once. Replaces the rule that disbelieved all reports when many were late, which swung between extremes.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,8 +23,9 @@
 const HELD_ROOM: f64 = 0.6;
 /// A report older than this says nothing any more; the mean of the known servers stands in.
 const STALE: Millis = 1_000.0;
-/// When more than this share of the reports that can tell are late, none is believed.
-const LATE: f64 = 0.1;
+/// What others have in flight at a server is averaged over about this time: a report is a second old when it
+/// comes, and every sidecar reads the same one, so that by single readings all crowd the same server at once.
+const OTHERS_OVER: Millis = 3_000.0;
 /// In-flight is averaged over about this time, as servers average their utilisation.
 const MEANS_OVER: Millis = 700.0;
 /// From here on a server counts as saturated: in-flight / utilisation then only bounds κ from above.
@@ -173,7 +174,7 @@
         out.push(Action::Log(format!(
             "request {} has no place: aim_left={:.0} room={:.0} held={} tries={} servers={} healthy={} \
              idle={} least wait={:.0} depth={:.2}; service={:.0} room_scale={:.2} refused={:.2} \
-             late_reports={:.2} pace={:.2} kappa={:.2}",
+             pace={:.2} kappa={:.2}",
             request.0,
             self.aim_left(held),
             self.room(held) * self.aim_left(held),
@@ -187,7 +188,6 @@
             seen.service[held.class.0].time,
             seen.room_scale,
             seen.refused,
-            seen.lateness,
             seen.fleet.pace,
             seen.fleet.in_flight / seen.fleet.utilisation,
         )));
@@ -325,15 +325,11 @@
         (kind + (upstream.kappa.unwrap_or(kind) - kind) * fade).max(0.1)
     }
 
-    /// m: the last report and our sends since; an unheard server takes the mean m of the known ones.
+    /// m: what others have there by its reports, and our own sends, of which we know at once. An unheard
+    /// server takes the mean of the known ones.
     fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
-        let own = upstream.outstanding.len() as f64;
-        if self.now - upstream.reported_at > STALE || self.seen.lateness > LATE {
-            return means.in_flight + own;
-        }
-        let since = upstream.outstanding.iter().filter(|o| o.sent >= upstream.counted_from).count();
-        // A report below what we ourselves have out there is old, whatever it says.
-        (upstream.reported + since as f64).max(own)
+        let heard = self.now - upstream.reported_at <= STALE;
+        upstream.outstanding.len() as f64 + if heard { upstream.others } else { means.others }
     }
 
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
@@ -484,7 +480,7 @@
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
         if let Some(report) = end.report {
-            self.take_report(id, report, self.now);
+            self.take_report(id, report);
         }
         let failed = match outcome {
             Outcome::Ok => false,
@@ -529,27 +525,22 @@
 
     fn heard(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        let asked_at = upstream.probe_sent.take().unwrap_or(self.now);
-        let (Some(report), true) = (report, answered) else { return };
-        // Reports carry no age. One that lacks what we had out there when we asked is late, and
-        // when many are, none is believed: each server then counts as unheard.
-        let ours = upstream.outstanding.iter().filter(|o| o.sent < asked_at).count() as f64;
-        if let Some(in_flight) = report.in_flight.filter(|_| ours > 1.0) {
-            let late = f64::from(u8::from(in_flight + 1.0 < ours));
-            self.seen.lateness += SMOOTH_ALL * (late - self.seen.lateness);
+        upstream.probe_sent = None;
+        if let (Some(report), true) = (report, answered) {
+            self.take_report(id, report);
         }
-        self.take_report(id, report, asked_at);
     }
 
-    /// Takes in a server's own figures; sends from `asked_at` on are not in them.
-    fn take_report(&mut self, id: UpstreamId, report: Report, asked_at: Millis) {
+    /// Takes in a server's own figures.
+    fn take_report(&mut self, id: UpstreamId, report: Report) {
         let Some(upstream) = self.upstreams.get_mut(&id) else { return };
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
         // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
-        let weight = 1.0 - (-(self.now - upstream.reported_at) / MEANS_OVER).exp();
-        upstream.reported = in_flight;
+        let since = self.now - upstream.reported_at;
+        let weight = 1.0 - (-since / MEANS_OVER).exp();
+        let others = (in_flight - upstream.outstanding.len() as f64).max(0.0);
+        upstream.others += (1.0 - (-since / OTHERS_OVER).exp()) * (others - upstream.others);
         upstream.reported_at = self.now;
-        upstream.counted_from = asked_at;
         upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
         let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,8 +129,6 @@
     pub usual_density: Option<f64>,
     /// Each tenant's share of our arrivals.
     pub tenant_shares: Vec<f64>,
-    /// Share of the telling reports that were late.
-    pub lateness: f64,
     /// When the first report came.
     pub first_at: Option<Millis>,
     /// The span over which the next call to discovery is spread, and whether one is to come.
@@ -151,7 +149,6 @@
             room_scale: 1.0,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
-            lateness: 0.0,
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
@@ -179,11 +176,9 @@
     pub kappa: Option<f64>,
     /// Running mean of the reports.
     pub mean_in_flight: f64,
-    /// In flight by the last report, less those of ours that have been answered since.
-    pub reported: f64,
+    /// Running mean of what others have in flight there: its reports less our own.
+    pub others: f64,
     pub reported_at: Millis,
-    /// Sends from here on are not in the last report.
-    pub counted_from: Millis,
     pub probe_sent: Option<Millis>,
     pub outstanding: Vec<Outstanding>,
     /// Service time relative to the mean of all servers.
@@ -214,7 +209,7 @@
 
 /// Means over the known servers, which stand in for what is not known of others.
 pub(crate) struct Means {
-    pub in_flight: f64,
+    pub others: f64,
 }
 
 impl Upstream {
@@ -228,9 +223,8 @@
             started: entry.started,
             kappa: None,
             mean_in_flight: 0.0,
-            reported: 0.0,
+            others: 0.0,
             reported_at: f64::NEG_INFINITY,
-            counted_from: f64::NEG_INFINITY,
             probe_sent: None,
             outstanding: Vec::new(),
             slowness: 1.0,
@@ -268,24 +262,18 @@
     /// Strikes a send off the books.
     pub fn take(&mut self, request: RequestId, attempt: AttemptNo) -> Option<Outstanding> {
         let matching = |o: &Outstanding| o.request == request && o.attempt == attempt;
-        let sent = self.outstanding.remove(self.outstanding.iter().position(matching)?);
-        if sent.sent < self.counted_from {
-            self.reported = (self.reported - 1.0).max(0.0);
-        }
-        Some(sent)
+        Some(self.outstanding.remove(self.outstanding.iter().position(matching)?))
     }
 }
 
 impl Means {
-    /// Over the serving servers; in flight is that of others, from reports since a given time.
+    /// Over the serving servers with reports since a given time.
     pub fn of<'a>(upstreams: impl Iterator<Item = &'a Upstream>, heard_since: Millis) -> Means {
-        let (mut in_flight, mut heard) = (0.0, 0.0);
-        for upstream in upstreams.filter(|upstream| upstream.serving) {
-            if upstream.reported_at >= heard_since {
-                in_flight += upstream.reported - upstream.outstanding.len() as f64;
-                heard += 1.0;
-            }
+        let (mut others, mut heard) = (0.0, 0.0);
+        for upstream in upstreams.filter(|u| u.serving && u.reported_at >= heard_since) {
+            others += upstream.others;
+            heard += 1.0;
         }
-        Means { in_flight: if heard > 0.0 { f64::max(in_flight / heard, 0.0) } else { 0.0 } }
+        Means { others: if heard > 0.0 { others / heard } else { 0.0 } }
     }
 }
