--- a/src/brain.rs
+++ b/src/brain.rs
@@ -140,9 +140,14 @@
         self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
         let class = &mut self.seen.service[held.class.0];
         class.refused += SMOOTH_ALL * (refused - class.refused);
-        let by_use = chosen.map(|[a, b]| if b.projected < a.projected { [b, a] } else { [a, b] });
-        match by_use.into_iter().flatten().find(|c| self.admits(c)) {
-            Some(chosen) => self.send(request, chosen, candidates.len() > 1, out),
+        let mut to = chosen.and_then(|pair| self.better(pair));
+        if chosen.is_some() && to.is_none() {
+            // What a cold pair must not be sent yet goes to warm servers: the client would only ask again.
+            let warm: Vec<Candidate> = candidates.iter().filter(|c| c.warmth >= 1.0).copied().collect();
+            to = self.draw(&warm, &held, out).and_then(|pair| self.better(pair));
+        }
+        match to {
+            Some(to) => self.send(request, to, candidates.len() > 1, out),
             None => {
                 self.explain(request, &held, &candidates, out);
                 self.give_up(request, out);
@@ -150,6 +155,12 @@
         }
     }
 
+    /// The one of a pair with the smaller projected utilisation, of those that may be sent one more.
+    fn better(&mut self, [a, b]: [Candidate; 2]) -> Option<Candidate> {
+        let by_use = if b.projected < a.projected { [b, a] } else { [a, b] };
+        by_use.into_iter().find(|c| self.admits(c))
+    }
+
     /// Tells at most once a second on what grounds a request found no server.
     fn explain(&mut self, request: RequestId, held: &Held, candidates: &[Candidate], out: &mut Vec<Action>) {
         if self.now < self.seen.explained_at + EXPLAIN_EVERY {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -259,3 +259,21 @@
     let cold = accepted(&mut stage);
     assert!((1..25).contains(&cold), "{cold} of 50 once it is cold again");
 }
+
+/// Guards against refusing what warm servers have room for: a pair of cold ones that may not be sent more yet once
+/// ended the request, and where a sidecar's own zone had just restarted, most of them.
+#[test]
+fn what_a_cold_pair_may_not_take_goes_to_a_warm_server() {
+    let mut stage = Stage::new(settings(), (1..=3).map(listing).collect());
+    let again = [1, 2].map(|id| Listing { started: Some(stage.now), ..listing(id) });
+    stage.event(Event::Listed(ListNews::Changed(again.to_vec())));
+    let mut to_cold = 0;
+    for _ in 0..60 {
+        stage.now += 50.0;
+        let (request, actions) = stage.arrive(ONCE);
+        let to = sent_to(&actions).expect("the warm one is idle");
+        to_cold += u32::from(to.0 < 3);
+        stage.finish(request, 0, to, Outcome::Ok, 20.0);
+    }
+    assert!((1..30).contains(&to_cold), "{to_cold} of 60 to the cold ones");
+}
