--- a/src/api.rs
+++ b/src/api.rs
@@ -325,5 +325,10 @@
     /// Ask discovery for changes from here on.
     Subscribe,
     /// A line for the operators.
-    Log(String),
+    Log {
+        /// The request that it is about, if it is about one.
+        about: Option<RequestId>,
+        /// The line.
+        text: String,
+    },
 }
--- a/src/bin/sagemast-simhost/wire.rs
+++ b/src/bin/sagemast-simhost/wire.rs
@@ -231,7 +231,7 @@
             Action::Probe(upstream) => WireAction::AskLoad { upstream: upstream.0 },
             Action::WakeAt { at, token } => WireAction::SetAlarm { time: at, token },
             Action::Subscribe => WireAction::Follow { want: true },
-            Action::Log(text) => WireAction::NoteDown { text },
+            Action::Log { text, .. } => WireAction::NoteDown { text },
         }
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -170,7 +170,7 @@
         let count = |which: fn(&Candidate) -> bool| candidates.iter().filter(|c| which(c)).count();
         let least = |of: fn(&Candidate) -> f64| candidates.iter().map(of).fold(f64::INFINITY, f64::min);
         let seen = &self.seen;
-        out.push(Action::Log(format!(
+        let text = format!(
             "request {} has no place: aim_left={:.0} room={:.0} tries={} servers={} healthy={} \
              idle={} least wait={:.0} depth={:.2}; service={:.0} room_scale={:.2} refused={:.2} \
              pace={:.2} kappa={:.2}",
@@ -188,7 +188,8 @@
             seen.refused,
             seen.fleet.pace,
             seen.fleet.in_flight / seen.fleet.utilisation,
-        )));
+        );
+        out.push(Action::Log { about: Some(request), text });
     }
 
     /// Whether a server may be sent one more while it is cold. An equal part of its budget is less than one
@@ -538,7 +539,7 @@
         match upstream.health {
             Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
                 upstream.health = eject(EJECT_FOR[0]);
-                out.push(Action::Log(format!("server {} ejected for failures", id.0)));
+                out.push(Action::Log { about: None, text: format!("server {} ejected for failures", id.0) });
             }
             Health::Ejected { until, wait } if failed && now >= until => {
                 upstream.health = eject((wait * 2.0).min(EJECT_FOR[1]));
@@ -546,7 +547,7 @@
             // Only a trial brings it back: answers to what was sent before it was ejected still come in.
             Health::Ejected { until, .. } if !failed && now >= until && upstream.failure_rate < bar => {
                 upstream.health = Health::Ready;
-                out.push(Action::Log(format!("server {} is back after trials", id.0)));
+                out.push(Action::Log { about: None, text: format!("server {} is back after trials", id.0) });
             }
             Health::Ready | Health::Ejected { .. } => {}
         }
@@ -565,7 +566,9 @@
             ListNews::Restored(list) | ListNews::Complete(list) | ListNews::Changed(list) => {
                 list.iter().for_each(|entry| self.update(entry));
             }
-            ListNews::Unavailable => out.push(Action::Log("server list unavailable".to_owned())),
+            ListNews::Unavailable => {
+                out.push(Action::Log { about: None, text: "server list unavailable".to_owned() });
+            }
         }
         self.upstreams.retain(|_, upstream| upstream.serving || !upstream.outstanding.is_empty());
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod net;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,10 +12,12 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
+use net::address_lists::AddressLists;
 use net::client::{self, Front, Names, Phase};
 use net::config::Config;
 use net::driver::{Driver, Happening};
 use net::log;
+use net::operator::Operator;
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -31,16 +34,29 @@
     }
 }
 
+/// How the program is called.
+const USAGE: &str = "usage: harelock [--operator FILE]";
+
+/// The operators' file, if the command line names one.
+fn operator_file(mut args: impl Iterator<Item = std::ffi::OsString>) -> Result<Option<PathBuf>> {
+    let Some(flag) = args.next() else { return Ok(None) };
+    match (flag == "--operator", args.next(), args.next()) {
+        (true, Some(path), None) => Ok(Some(path.into())),
+        _ => bail!(USAGE),
+    }
+}
+
 fn run() -> Result<()> {
+    let operator = Operator::read(operator_file(std::env::args_os().skip(1))?.as_deref())?;
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(sidecar(config))
+    runtime.block_on(sidecar(config, operator))
 }
 
-async fn sidecar(config: Config) -> Result<()> {
+async fn sidecar(config: Config, operator: Operator) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
@@ -52,7 +68,8 @@
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
-    let front = Arc::new(Front::new(names, phases, happenings.clone()));
+    let lists = operator.address_lists.map(AddressLists::new);
+    let front = Arc::new(Front::new(names, phases, happenings.clone(), lists));
     let (clients, upstreams) = (config.limits.clients(), config.limits.upstreams());
     let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams);
     let mut driver = tokio::spawn(driver.run(config.known));
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -1,12 +1,14 @@
 //! The client side: the listener, the requests of the application, and their answers.
 
 use std::convert::Infallible;
+use std::fmt::{Display, Formatter};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -15,10 +17,12 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use sagemast::api::*;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, join};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
+use super::address_lists::{AddressLists, Client};
 use super::driver::Happening;
 use super::log;
 use super::upstream::BODY_BYTES;
@@ -74,6 +78,21 @@
     next_id: AtomicU64,
     /// Open client connections.
     pub connections: AtomicUsize,
+    /// Whom to serve, where the operators say so.
+    pub lists: Option<AddressLists>,
+}
+
+/// Who is at the other end of a connection, as far as the operators' features tell.
+#[derive(Debug, Clone, Copy)]
+pub struct Who {
+    /// The client that the connection speaks for.
+    pub client: Option<Client>,
+}
+
+impl Display for Who {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        self.client.map_or(Ok(()), |client| write!(f, "{client} "))
+    }
 }
 
 /// A request as it goes on to upstreams.
@@ -107,6 +126,8 @@
     pub at: Instant,
     /// How long its client waits from then on.
     pub time_left: Duration,
+    /// Who sent it.
+    pub who: Arc<Who>,
     /// What goes on to upstreams.
     pub forward: Forward,
     /// Where its final answer goes.
@@ -130,6 +151,7 @@
         names: Names,
         phase: watch::Receiver<Phase>,
         happenings: mpsc::UnboundedSender<Happening>,
+        lists: Option<AddressLists>,
     ) -> Front {
         Front {
             names,
@@ -139,12 +161,19 @@
             // The module keeps timer 0 for itself and halves request ids into timers.
             next_id: AtomicU64::new(2),
             connections: AtomicUsize::new(0),
+            lists,
         }
     }
+
+    /// Whether a peer is closed unread: one whose own address decides, and is not admitted.
+    fn turns_away(&self, peer: SocketAddr) -> bool {
+        let decides = |lists: &&AddressLists| !lists.trusts(peer.ip());
+        self.lists.as_ref().filter(decides).is_some_and(|lists| !lists.admits(peer.ip()))
+    }
 }
 
 /// Listens. The address may be in use by connections of a predecessor that was killed.
-pub fn listen(address: std::net::SocketAddr) -> Result<TcpListener> {
+pub fn listen(address: SocketAddr) -> Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address).with_context(|| format!("cannot listen on {address}"))?;
@@ -163,12 +192,15 @@
             () = all_done(&mut phase, &front) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((_, peer)) if front.turns_away(peer) => {
+                log::line(format!("connection from client={} is denied", peer.ip().to_canonical()));
+            }
+            Ok((stream, peer)) => {
                 front.connections.fetch_add(1, Ordering::Relaxed);
                 let crowded = permits.available_permits() * 4 < max_connections;
                 let front = front.clone();
                 tokio::spawn(async move {
-                    connection(stream, &front, crowded).await;
+                    welcome(stream, peer, &front, crowded).await;
                     front.connections.fetch_sub(1, Ordering::Relaxed);
                     drop(permit);
                 });
@@ -191,19 +223,59 @@
     }
 }
 
-/// Serves one client connection. Where connections are scarce, one answer is all that it carries.
-async fn connection(stream: TcpStream, front: &Arc<Front>, crowded: bool) {
+/// Finds out whom a new connection speaks for, where that is asked, and serves it.
+async fn welcome(mut stream: TcpStream, peer: SocketAddr, front: &Arc<Front>, crowded: bool) {
+    let opened = Instant::now();
     let _ = stream.set_nodelay(true);
+    let mut who = Who { client: None };
+    let mut first = BytesMut::new();
+    if let Some(lists) = &front.lists {
+        let identified = tokio::select! {
+            biased;
+            identified = lists.identify(&mut stream, peer.ip(), &mut first) => identified,
+            () = out_of_time(opened, front.phase.clone()) => Err(format!("{peer} is silent")),
+        };
+        match identified {
+            Ok(client) => who.client = Some(client),
+            Err(reason) => return log::line(format!("connection closed: {reason}")),
+        }
+        log::line(format!("{who}connected from {peer}"));
+    }
+    let (reading, writing) = stream.into_split();
+    // What came with a header, or while none was found, is read before what is still to come.
+    let stream = join(std::io::Cursor::new(first.freeze()).chain(reading), writing);
+    connection(stream, Arc::new(who), opened, front, crowded).await;
+}
+
+/// Comes back when a peer that has sent nothing whole yet must be let go.
+async fn out_of_time(opened: Instant, mut phase: watch::Receiver<Phase>) {
+    let closing = async {
+        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        sleep(IDLE_AT_END).await;
+    };
+    tokio::select! {
+        () = sleep_until(opened + REQUEST_TIME) => {}
+        () = closing => {}
+    }
+}
+
+/// Serves one client connection. Where connections are scarce, one answer is all that it carries.
+async fn connection(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    who: Arc<Who>,
+    opened: Instant,
+    front: &Arc<Front>,
+    crowded: bool,
+) {
     let mut phase = front.phase.clone();
     let now = *phase.borrow_and_update();
-    let opened = Instant::now();
     let heard = AtomicBool::new(false);
     let service = service_fn(|request| {
         let is_first = !heard.swap(true, Ordering::Relaxed);
         let by = if is_first { opened } else { Instant::now() } + REQUEST_TIME;
-        let front = front.clone();
+        let (front, who) = (front.clone(), who.clone());
         async move {
-            let mut response = handle(request, &front, by).await;
+            let mut response = handle(request, &front, who, by).await;
             if crowded || *front.phase.borrow() > Phase::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -269,7 +341,12 @@
 /// What is wrong with a request.
 type Malformed = (StatusCode, &'static str);
 
-async fn handle(request: Request<Incoming>, front: &Front, by: Instant) -> Response<Full<Bytes>> {
+async fn handle(
+    request: Request<Incoming>,
+    front: &Front,
+    who: Arc<Who>,
+    by: Instant,
+) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
         let up = front.ready.load(Ordering::Relaxed);
         return match (request.method() == Method::GET, up) {
@@ -278,6 +355,10 @@
             (true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no list of upstreams yet"),
         };
     }
+    if who.client == Some(Client::Unnamed) {
+        // A front may look after us in its own name, but a request needs an address to be audited by.
+        return plain(StatusCode::FORBIDDEN, "no client address");
+    }
     let (class, tenant, time_left) = match check(&request, &front.names) {
         Ok(checked) => checked,
         Err((status, reason)) => return plain(status, reason),
@@ -297,7 +378,7 @@
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
     let (reply, answer) = oneshot::channel();
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
-    let arrival = Arrival { request, class, tenant, at, time_left, forward, reply };
+    let arrival = Arrival { request, class, tenant, at, time_left, who, forward, reply };
     let mut guard = Guard { request, front, answered: false };
     let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
     let answer = answer.await;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -16,7 +16,7 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
-use super::client::{Arrival, Final, Forward, Front, end_to_end};
+use super::client::{Arrival, Final, Forward, Front, Who, end_to_end};
 use super::counters::{Counters, name_of};
 use super::discovery::{AbortOnDrop, Health, Host, HostList, Watch};
 use super::log;
@@ -109,6 +109,7 @@
 /// A request without its final answer.
 struct Open {
     forward: Arc<Forward>,
+    who: Arc<Who>,
     reply: oneshot::Sender<Final>,
     sends: u32,
     at: Instant,
@@ -335,12 +336,12 @@
     }
 
     fn arrived(&mut self, arrival: Arrival) {
-        let Arrival { request, class, tenant, at, time_left, forward, reply } = arrival;
+        let Arrival { request, class, tenant, at, time_left, who, forward, reply } = arrival;
         let deadline = at + time_left.saturating_sub(IN_HAND);
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
         self.counters.arrived += 1;
-        let open =
-            Open { forward: Arc::new(forward), reply, sends: 0, at, deadline, timer, trail: String::new() };
+        let (forward, trail) = (Arc::new(forward), String::new());
+        let open = Open { forward, who, reply, sends: 0, at, deadline, timer, trail };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event(Event::Arrived { request, class, tenant, time_left });
@@ -399,7 +400,10 @@
             Action::Subscribe => {
                 self.watch = Some(self.start_watch());
             }
-            Action::Log(text) => log::rare(text),
+            Action::Log { about, text } => {
+                let open = about.and_then(|request| self.open.get(&request));
+                log::rare(open.map_or(text.clone(), |open| format!("{}{text}", open.who)));
+            }
         }
     }
 
@@ -707,13 +711,13 @@
 impl Open {
     /// The line about a request that was not served.
     fn obituary(&self, answer: &Final) -> String {
-        let id = self.forward.id();
+        let (who, id) = (&self.who, self.forward.id());
         let path = self.forward.target.path();
         let end = if matches!(answer, Final::Failed) { "failed" } else { "refused" };
         let after = self.at.elapsed().as_millis();
         let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
         let trail = if self.trail.is_empty() { " no attempt" } else { &self.trail };
-        format!("request {id} {path}: {end} after {after} ms, {left} ms left;{trail}")
+        format!("{who}request {id} {path}: {end} after {after} ms, {left} ms left;{trail}")
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The sidecar on real sockets. One thread; the driver alone owns the module, and everything else tells it
 //! what happened through a channel.
 
+pub mod address_lists;
 pub mod client;
 pub mod config;
 pub mod counted;
@@ -8,4 +9,5 @@
 pub mod discovery;
 pub mod driver;
 pub mod log;
+pub mod operator;
 pub mod upstream;
--- a/tests/any_order.rs
+++ b/tests/any_order.rs
@@ -90,7 +90,7 @@
                     assert!(at.is_finite());
                     self.wakes.push((*at, *token));
                 }
-                Action::Subscribe | Action::Log(_) => {}
+                Action::Subscribe | Action::Log { .. } => {}
             }
         }
     }
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -59,7 +59,8 @@
         let outcome = if number < 5 { Outcome::Reset } else { Outcome::Ok };
         logs.extend(stage.finish(request, 0, UpstreamId(1), outcome, 20.0));
     }
-    let told = |text: &str| logs.iter().any(|a| matches!(a, Action::Log(line) if line.contains(text)));
+    let told =
+        |text: &str| logs.iter().any(|a| matches!(a, Action::Log { text: line, .. } if line.contains(text)));
     assert!(told("ejected"), "five resets in a row");
     assert!(!told("is back"), "nothing was tried since");
 }
@@ -112,7 +113,7 @@
         stage.report(2, 3.0, 0.5);
         let (request, mut actions) = stage.arrive(ONCE);
         for attempt in 0.. {
-            let ejected = |a: &Action| matches!(a, Action::Log(text) if text.contains("ejected"));
+            let ejected = |a: &Action| matches!(a, Action::Log { text, .. } if text.contains("ejected"));
             assert!(!actions.iter().any(ejected), "ejected for being full");
             let Some(to) = sent_to(&actions) else { break };
             let outcome = if to.0 == 1 { Outcome::Full } else { Outcome::Ok };
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -284,18 +284,31 @@
 
 /// Starts the program on a configuration, with its standard error piped.
 pub fn spawn(config: &str) -> Child {
-    spawn_with(config, None).0
+    spawn_with(config, None, None).0
 }
 
-/// The same with a limit on its descriptors.
-fn spawn_with(config: &str, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
+/// The same with the operators' file.
+pub fn spawn_operated(config: &str, operator: &str) -> Child {
+    spawn_with(config, Some(operator), None).0
+}
+
+/// A file of its own under the tests' folder.
+pub fn file(text: &str) -> std::path::PathBuf {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("sagemast-{}-{number}.json", std::process::id());
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, config).unwrap();
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+/// The same with a limit on its descriptors.
+fn spawn_with(config: &str, operator: Option<&str>, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
+    let path = file(config);
+    let operator = operator.map(|text| ["--operator".into(), file(text)]);
     let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
     let child = Command::new("sh")
-        .args(["-c", &format!("{limit}exec \"$0\""), env!("CARGO_BIN_EXE_sagemast")])
+        .args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_harelock")])
+        .args(operator.into_iter().flatten())
         .env("ROUTER_CONFIG", &path)
         .stdin(Stdio::null())
         .stdout(Stdio::null())
@@ -313,7 +326,15 @@
 
     /// The same with a limit on its descriptors.
     pub fn start_with(config: &str, descriptors: Option<u32>) -> Sidecar {
-        let (mut child, path) = spawn_with(config, descriptors);
+        Sidecar::listening(spawn_with(config, None, descriptors))
+    }
+
+    /// The same with the operators' file.
+    pub fn operated(config: &str, operator: &str) -> Sidecar {
+        Sidecar::listening(spawn_with(config, Some(operator), None))
+    }
+
+    fn listening((mut child, path): (Child, std::path::PathBuf)) -> Sidecar {
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
@@ -346,6 +367,19 @@
         (sidecar, discovery)
     }
 
+    /// Starts it with these upstreams and the operators' file, and waits until it is up.
+    pub fn with_operator(upstreams: &[&Upstream], operator: &str) -> (Sidecar, Discovery) {
+        let known = ready(upstreams);
+        let discovery = Discovery::new(&known);
+        let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
+        (Sidecar::operated(&text, operator), discovery)
+    }
+
+    /// Whether a line of its log holds all of these.
+    pub fn has_said(&self, parts: &[&str]) -> bool {
+        self.log.lock().unwrap().iter().any(|line| parts.iter().all(|part| line.contains(part)))
+    }
+
     pub fn wait_up(&self) {
         until("it is up", || Client::to(self.address).get("/up").is_some_and(|got| got.status() == 200));
     }
--- a/tests/sidecar.rs
+++ b/tests/sidecar.rs
@@ -383,7 +383,7 @@
         let error = String::from_utf8(output.stderr).unwrap();
         assert_eq!(error.lines().count(), 1, "{error}");
     }
-    let output = std::process::Command::new(env!("CARGO_BIN_EXE_sagemast"))
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_harelock"))
         .env_remove("ROUTER_CONFIG")
         .output()
         .unwrap();
