Add figures for the operators' collector and a log that nothing waits for

On in service: StatsD lines on standard error. A thread writes them and the log, so that a full pipe no longer holds up the runtime.

--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 use net::client::{self, Front, Names, Phase};
 use net::config::Config;
 use net::driver::{Driver, Happening};
+use net::figures::Figures;
 use net::log;
 use net::operator::Operator;
 
@@ -26,9 +27,13 @@
 
 fn main() -> ExitCode {
     match run() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(()) => {
+            log::finish();
+            ExitCode::SUCCESS
+        }
         Err(error) => {
             log::line(format!("{error:#}"));
+            log::finish();
             ExitCode::FAILURE
         }
     }
@@ -53,7 +58,10 @@
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    runtime.block_on(sidecar(config, operator))
+    let end = runtime.block_on(sidecar(config, operator));
+    // A look-up of a name that hangs must not hold up the end.
+    runtime.shutdown_background();
+    end
 }
 
 async fn sidecar(config: Config, operator: Operator) -> Result<()> {
@@ -61,6 +69,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
     let listener = client::listen(config.listen)?;
+    log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
     log::line(format!("listening on {address}"));
     let (phase, phases) = watch::channel(Phase::Open);
@@ -68,8 +77,17 @@
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
+    let figures = match operator.figures {
+        Some(settings) => {
+            let every = Duration::from_millis(settings.flush_ms as u64);
+            let figures = Figures::start(settings, config.settings.class_names())?;
+            tokio::spawn(figures.clone().run(every));
+            Some(figures)
+        }
+        None => None,
+    };
     let lists = operator.address_lists.map(AddressLists::new);
-    let front = Arc::new(Front::new(names, phases, happenings.clone(), lists));
+    let front = Arc::new(Front::new(names, phases, happenings.clone(), lists, figures.clone()));
     let (clients, upstreams) = (config.limits.clients(), config.limits.upstreams());
     let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams);
     let mut driver = tokio::spawn(driver.run(config.known));
@@ -81,7 +99,10 @@
             _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
             _ = hang_up.recv() => reread(&happenings),
             // It never ends by itself. Without it nothing is answered: better to be started anew.
-            _ = &mut driver => bail!("the driver has failed"),
+            _ = &mut driver => {
+                figures.iter().for_each(|figures| figures.finish());
+                bail!("the driver has failed")
+            }
         }
     }
     phase.send_replace(Phase::Leaving);
@@ -90,6 +111,7 @@
     if timeout(longest + LAST_MARGIN - STILL_COMING, serving).await.is_err() {
         log::line("some clients have not let go in time");
     }
+    figures.iter().for_each(|figures| figures.finish());
     Ok(())
 }
 
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -24,6 +24,7 @@
 
 use super::address_lists::{AddressLists, Client};
 use super::driver::Happening;
+use super::figures::{Figures, InFlight};
 use super::log;
 use super::upstream::BODY_BYTES;
 
@@ -64,6 +65,14 @@
     pub tenants: Vec<String>,
 }
 
+impl Names {
+    /// The class that a path names.
+    fn class_of(&self, uri: &Uri) -> Option<usize> {
+        let first = uri.path().trim_start_matches('/').split('/').next()?;
+        self.classes.iter().position(|(name, _)| name == first)
+    }
+}
+
 /// What all client connections share. Counters only: the driver alone owns state.
 pub struct Front {
     /// Names in requests.
@@ -80,6 +89,8 @@
     pub connections: AtomicUsize,
     /// Whom to serve, where the operators say so.
     pub lists: Option<AddressLists>,
+    /// Where requests are counted, if they are.
+    pub figures: Option<Arc<Figures>>,
 }
 
 /// Who is at the other end of a connection, as far as the operators' features tell.
@@ -152,6 +163,7 @@
         phase: watch::Receiver<Phase>,
         happenings: mpsc::UnboundedSender<Happening>,
         lists: Option<AddressLists>,
+        figures: Option<Arc<Figures>>,
     ) -> Front {
         Front {
             names,
@@ -162,9 +174,15 @@
             next_id: AtomicU64::new(2),
             connections: AtomicUsize::new(0),
             lists,
+            figures,
         }
     }
 
+    /// Counts a request in that has come as far as its head.
+    fn begin(&self, uri: &Uri) -> Option<InFlight> {
+        Some(self.figures.as_ref()?.begin(self.names.class_of(uri)))
+    }
+
     /// Whether a peer is closed unread: one whose own address decides, and is not admitted.
     fn turns_away(&self, peer: SocketAddr) -> bool {
         let decides = |lists: &&AddressLists| !lists.trusts(peer.ip());
@@ -275,7 +293,11 @@
         let by = if is_first { opened } else { Instant::now() } + REQUEST_TIME;
         let (front, who) = (front.clone(), who.clone());
         async move {
-            let mut response = handle(request, &front, who, by).await;
+            let mut in_flight = front.begin(request.uri());
+            let mut response = handle(request, &front, who, by, &mut in_flight).await;
+            if let Some(in_flight) = in_flight {
+                in_flight.answered(response.status().as_u16());
+            }
             if crowded || *front.phase.borrow() > Phase::Open {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -299,7 +321,12 @@
             // idle connection is closed would have to be sent again.
             biased;
             // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
-            _ = connection.as_mut() => return,
+            end = connection.as_mut() => {
+                if let (Err(error), Some(figures)) = (end, &front.figures) {
+                    status_of(&error).into_iter().for_each(|status| figures.answered_unread(status));
+                }
+                return;
+            }
             // It connected and has not sent even a head: it is no client, and keeps others out.
             () = sleep_until(opened + REQUEST_TIME), if is_watched => {
                 if !heard.load(Ordering::Relaxed) {
@@ -323,6 +350,15 @@
     }
 }
 
+/// The status that hyper has answered nonsense with, if it has.
+fn status_of(error: &hyper::Error) -> Option<u16> {
+    let status = match error.is_parse_too_large() {
+        true => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        false => StatusCode::BAD_REQUEST,
+    };
+    (error.is_parse() && !error.is_parse_version_h2()).then_some(status.as_u16())
+}
+
 /// Tells the driver when the client goes away before its answer.
 struct Guard<'a> {
     request: RequestId,
@@ -346,6 +382,7 @@
     front: &Front,
     who: Arc<Who>,
     by: Instant,
+    in_flight: &mut Option<InFlight>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
         let up = front.ready.load(Ordering::Relaxed);
@@ -373,6 +410,9 @@
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
     let at = Instant::now();
+    if let Some(in_flight) = in_flight {
+        in_flight.came_whole(at);
+    }
     // A client may name the whole URL; upstreams are asked for the path in any case.
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
@@ -404,14 +444,13 @@
 /// Reads the head of a request.
 fn check(request: &Request<Incoming>, names: &Names) -> Result<(ClassId, TenantId, Duration), Malformed> {
     let bad = |reason| (StatusCode::BAD_REQUEST, reason);
-    let first = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let Some(class) = names.classes.iter().position(|(name, _)| name == first) else {
-        return Err((StatusCode::NOT_FOUND, "no such path"));
-    };
+    let class = names.class_of(request.uri()).ok_or((StatusCode::NOT_FOUND, "no such path"))?;
     let headers = request.headers();
     match single(headers, "x-priority-class")? {
         None => return Err(bad("X-Priority-Class is missing")),
-        Some(name) if name != first => return Err(bad("X-Priority-Class does not fit the path")),
+        Some(name) if name != names.classes[class].0 => {
+            return Err(bad("X-Priority-Class does not fit the path"));
+        }
         Some(_) => {}
     }
     let keyed = single(headers, "idempotency-key")?.is_some_and(|key| !key.is_empty());
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,8 @@
 pub mod counters;
 pub mod discovery;
 pub mod driver;
+pub mod figures;
 pub mod log;
 pub mod operator;
+pub mod output;
 pub mod upstream;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -1,11 +1,13 @@
 //! The operators' own settings: the file that `--operator` names, checked whole before anything runs. What it
 //! does not name is off.
 
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result, anyhow};
 use ipnet::IpNet;
-use serde::Deserialize;
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
 
 /// The operators' file, a section a feature.
 #[derive(Deserialize, Default, Debug)]
@@ -13,6 +15,8 @@
 pub struct Operator {
     /// Who may connect, and whose word on the client's address is taken.
     pub address_lists: Option<AddressLists>,
+    /// Figures for a collector.
+    pub figures: Option<Figures>,
 }
 
 /// Settings of the address lists.
@@ -27,6 +31,85 @@
     pub proxy_trusted: Vec<IpNet>,
 }
 
+/// Settings of the figures.
+#[derive(Deserialize, Debug)]
+#[serde(deny_unknown_fields, default)]
+pub struct Figures {
+    /// How a line looks.
+    pub format: Format,
+    /// Whether standard error gets them.
+    pub stderr: bool,
+    /// A file that gets them.
+    pub file: Option<PathBuf>,
+    /// A collector that gets them.
+    pub udp: Option<Collector>,
+    /// How often they are handed out.
+    #[serde(deserialize_with = "within::<_, 10, 600_000>")]
+    pub flush_ms: usize,
+    /// How much is kept until then.
+    #[serde(deserialize_with = "within::<_, 1, 16_384>")]
+    pub buffer_kb: usize,
+}
+
+impl Default for Figures {
+    fn default() -> Figures {
+        let (format, flush_ms, buffer_kb) = (Format::Statsd, 1_000, 64);
+        Figures { format, stderr: true, file: None, udp: None, flush_ms, buffer_kb }
+    }
+}
+
+/// How figures are written.
+#[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum Format {
+    /// StatsD, with tags behind `#`.
+    Statsd,
+    /// The line protocol of InfluxDB.
+    Influx,
+}
+
+/// Where a collector listens.
+#[derive(Deserialize, Debug, PartialEq)]
+#[serde(try_from = "String")]
+pub struct Collector {
+    /// A name or an address.
+    pub host: String,
+    /// Its port.
+    pub port: u16,
+}
+
+impl Collector {
+    /// Its address, where it is not given by name.
+    pub fn address(&self) -> Option<SocketAddr> {
+        Some(SocketAddr::new(self.host.parse().ok()?, self.port))
+    }
+}
+
+impl TryFrom<String> for Collector {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Collector, &'static str> {
+        let (host, port) = text.rsplit_once(':').ok_or("not host:port")?;
+        let port = port.parse().ok().filter(|port| *port > 0).ok_or("not a port")?;
+        let bare = host.strip_prefix('[').and_then(|host| host.strip_suffix(']'));
+        match bare.unwrap_or(host) {
+            host if host.is_empty() || (bare.is_none() && host.contains(':')) => Err("not host:port"),
+            host => Ok(Collector { host: host.to_owned(), port }),
+        }
+    }
+}
+
+/// Reads a whole number between two bounds.
+fn within<'de, D: Deserializer<'de>, const LEAST: usize, const MOST: usize>(
+    from: D,
+) -> Result<usize, D::Error> {
+    let number = usize::deserialize(from)?;
+    if (LEAST..=MOST).contains(&number) {
+        return Ok(number);
+    }
+    Err(D::Error::custom(format_args!("{number} is not between {LEAST} and {MOST}")))
+}
+
 impl Operator {
     /// Reads and checks the file; without one, every feature is off.
     pub fn read(path: Option<&Path>) -> Result<Operator> {
@@ -61,7 +144,7 @@
     #[test]
     fn what_is_not_named_is_off() {
         let operator = Operator::parse(b"{}").expect("an empty file is sound");
-        assert!(operator.address_lists.is_none());
+        assert!(operator.address_lists.is_none() && operator.figures.is_none());
         assert!(Operator::read(None).expect("no file").address_lists.is_none());
     }
 
@@ -72,6 +155,23 @@
         assert_eq!((lists.allow.len(), lists.deny.len(), lists.proxy_trusted.len()), (0, 2, 0));
     }
 
+    #[test]
+    fn the_figures_are_read() {
+        let figures = |text: &str| Operator::parse(text.as_bytes()).expect("sound").figures.expect("on");
+        let usual = figures(r#"{"figures":{}}"#);
+        assert_eq!((usual.format, usual.stderr, usual.flush_ms), (Format::Statsd, true, 1_000));
+        assert!(usual.buffer_kb == 64 && usual.file.is_none() && usual.udp.is_none());
+        for (text, host, address) in [
+            ("127.0.0.1:8125", "127.0.0.1", true),
+            ("[::1]:8125", "::1", true),
+            ("collector.internal:8125", "collector.internal", false),
+        ] {
+            let udp = figures(&format!(r#"{{"figures":{{"format":"influx","udp":"{text}"}}}}"#)).udp;
+            let udp = udp.expect("a collector");
+            assert_eq!((udp.host.as_str(), udp.port, udp.address().is_some()), (host, 8125, address));
+        }
+    }
+
     #[test]
     fn a_complaint_names_the_key() {
         for (text, key) in [
@@ -81,6 +181,13 @@
             (r#"{"address_lists":{"allow":"10.8.1.0/24"}}"#, "address_lists.allow"),
             (r#"{"address_lists":{"proxy_trusted":["front"]}}"#, "address_lists.proxy_trusted[0]"),
             (r#"{"address_lists":{"deny":[],"deny":[]}}"#, "deny"),
+            (r#"{"figures":{"format":"graphite"}}"#, "figures.format"),
+            (r#"{"figures":{"flush_ms":0}}"#, "figures.flush_ms"),
+            (r#"{"figures":{"buffer_kb":-1}}"#, "figures.buffer_kb"),
+            (r#"{"figures":{"stderr":"yes"}}"#, "figures.stderr"),
+            (r#"{"figures":{"udp":"collector"}}"#, "figures.udp"),
+            (r#"{"figures":{"udp":"::1:8125x"}}"#, "figures.udp"),
+            (r#"{"figures":{"udp":":8125"}}"#, "figures.udp"),
         ] {
             let complaint = complaint(text);
             assert!(complaint.contains(key), "{text}: {complaint}");
