Add the capture of what the module is told, and harelock replay

On in service with a ring of 768 KiB. Checkpoints of the module stand in it, so that what is left of a full ring replays without false differences.

--- a/src/api.rs
+++ b/src/api.rs
@@ -4,39 +4,41 @@
 //! reads a clock and does no I/O: the sidecar turns what happens into [`Event`]s and carries out
 //! the [`Action`]s that come back.
 
+use serde::{Deserialize, Serialize};
+
 /// Milliseconds: a point on the caller's clock, or a span.
 pub type Millis = f64;
 
 /// One try of a client, as it entered this sidecar.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 /// A server that requests can be sent to. The same id means the same server across restarts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct UpstreamId(pub u64);
 
 /// The number of a send of one request: 0 for the first, 1 for the next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptNo(pub u32);
 
 /// Index of a request class in [`Settings::classes`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClassId(pub usize);
 
 /// Index of a tenant in [`Settings::tenants`]; ignored where there are none.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct TenantId(pub usize);
 
 /// A place whose members reach each other cheaply.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct ZoneId(pub u64);
 
 /// A small set of servers inside one zone that share their memory of keys.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CellId(pub u64);
 
 /// A kind of machine, as discovery lists it: servers of one kind are taken to be alike until heard from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct KindId(pub u64);
 
 /// Which servers discard repeats of a keyed request.
@@ -87,7 +89,7 @@
 }
 
 /// What the caller's surroundings allow.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Limits {
     /// Sends of one request, at most.
     pub max_attempts: u32,
@@ -104,7 +106,7 @@
 }
 
 /// The figures of the two rules about servers that leave or have just started.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Safety {
     /// A server starts with at least this share of its capacity.
     pub cold_share: f64,
@@ -117,9 +119,10 @@
 }
 
 /// How news of servers arrives.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub enum Discovery {
     /// By itself.
+    #[default]
     Pushed,
     /// Only after [`Action::Subscribe`].
     Subscribed {
@@ -129,7 +132,7 @@
 }
 
 /// What the module is told at start. It never learns names.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
     /// Request classes, by [`ClassId`].
     pub classes: Vec<Class>,
@@ -152,7 +155,8 @@
 }
 
 /// Whether a server takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Lifecycle {
     /// It does.
     Serving,
@@ -161,7 +165,7 @@
 }
 
 /// A server as discovery lists it.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// Its id.
     pub upstream: UpstreamId,
@@ -180,7 +184,8 @@
 }
 
 /// News from discovery.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ListNews {
     /// The complete list as last held before a restart; may be old.
     Restored(Vec<Listing>),
@@ -193,20 +198,25 @@
 }
 
 /// A server's own report of its load. Any figure may be missing or absurd.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Report {
     /// Requests it holds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub in_flight: Option<f64>,
     /// How busy its cores are, 0 to 1.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub utilisation: Option<f64>,
     /// Requests served a second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub served_per_s: Option<f64>,
     /// Errors a second.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub errors_per_s: Option<f64>,
 }
 
 /// The outcome of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Outcome {
     /// Served.
     Ok,
@@ -234,7 +244,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Finished {
     /// The request.
     pub request: RequestId,
@@ -249,11 +259,13 @@
     /// Whether the client has its final answer.
     pub closed: bool,
     /// A report that came with it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
 }
 
 /// Something that happened. Events at one time are handed over in order.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Event {
     /// A client's try came in and is owed one final answer.
     Arrived {
@@ -277,6 +289,7 @@
         /// Whether it answered.
         answered: bool,
         /// Its report.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
         report: Option<Report>,
     },
     /// News from discovery.
@@ -286,7 +299,8 @@
 }
 
 /// Something for the sidecar to do now, in order.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Action {
     /// Start an attempt.
     Send {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use oorandom::Rand64;
+use serde::{Deserialize, Serialize};
 
 use crate::api::*;
 use crate::state::*;
@@ -69,9 +70,11 @@
 const ASK_OVER: f64 = 0.25;
 
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub struct Balancer {
+    #[serde(skip)]
     settings: Settings,
+    #[serde(with = "crate::exact::rng")]
     rng: Rand64,
     now: Millis,
     requests: BTreeMap<RequestId, Held>,
@@ -95,6 +98,15 @@
         }
     }
 
+    /// Goes on from a checkpoint, which holds all but the settings; `None` where they do not fit each other.
+    pub fn resume(self, settings: Settings) -> Option<Balancer> {
+        let (classes, tenants) = (self.seen.service.len(), self.seen.tenant_shares.len());
+        let out = self.upstreams.values().flat_map(|upstream| &upstream.outstanding).map(|out| out.class);
+        let known = self.requests.values().map(|held| held.class).chain(out).all(|class| class.0 < classes);
+        let fits = known && classes == settings.classes.len() && tenants == settings.tenants.len();
+        fits.then_some(Balancer { settings, ..self })
+    }
+
     /// Takes in one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod brain;
+mod exact;
 pub mod settings;
 mod state;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,9 @@
 
 mod net;
 
-use std::path::PathBuf;
+use std::ffi::OsString;
+use std::io::{BufWriter, Write};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use net::address_lists::AddressLists;
+use net::capture::{self, replay::Tally};
 use net::client::{self, Front, Names, Phase};
 use net::config::Config;
 use net::driver::{Driver, Happening};
@@ -26,33 +29,75 @@
 const LAST_MARGIN: Duration = Duration::from_millis(640);
 
 fn main() -> ExitCode {
-    match run() {
-        Ok(()) => {
-            log::finish();
-            ExitCode::SUCCESS
+    let args = || std::env::args_os().skip(1);
+    // A replay that could not be carried out must not look like one that found differences.
+    let trouble = if args().next().is_some_and(|first| first == "replay") { 2 } else { 1 };
+    let done = Command::parse(args()).and_then(|command| match command {
+        Command::Serve(operator) => serve(operator.as_deref()).map(|()| ExitCode::SUCCESS),
+        Command::Replay(config, captures) => replay(&config, &captures),
+    });
+    let code = done.unwrap_or_else(|error| {
+        log::line(format!("{error:#}"));
+        ExitCode::from(trouble)
+    });
+    log::finish();
+    code
+}
+
+/// How the program is called.
+const USAGE: &str =
+    "usage: harelock [--operator FILE], or harelock replay --config FILE --capture FILE [--capture FILE]...";
+
+/// What the command line asks for.
+enum Command {
+    /// Serve, with the operators' file if one is named.
+    Serve(Option<PathBuf>),
+    /// Replay captures under a configuration.
+    Replay(PathBuf, Vec<PathBuf>),
+}
+
+impl Command {
+    fn parse(args: impl Iterator<Item = OsString>) -> Result<Command> {
+        let mut args = args.peekable();
+        let replay = args.next_if(|first| first == "replay").is_some();
+        let (mut operator, mut config, mut captures) = (None, None, Vec::new());
+        while let Some(flag) = args.next() {
+            let value = PathBuf::from(args.next().context(USAGE)?);
+            match flag.to_str() {
+                Some("--operator") if !replay && operator.is_none() => operator = Some(value),
+                Some("--config") if replay && config.is_none() => config = Some(value),
+                Some("--capture") if replay => captures.push(value),
+                _ => bail!(USAGE),
+            }
         }
-        Err(error) => {
-            log::line(format!("{error:#}"));
-            log::finish();
-            ExitCode::FAILURE
+        match (replay, config) {
+            (false, _) => Ok(Command::Serve(operator)),
+            (true, Some(config)) if !captures.is_empty() => Ok(Command::Replay(config, captures)),
+            (true, _) => bail!(USAGE),
         }
     }
 }
 
-/// How the program is called.
-const USAGE: &str = "usage: harelock [--operator FILE]";
-
-/// The operators' file, if the command line names one.
-fn operator_file(mut args: impl Iterator<Item = std::ffi::OsString>) -> Result<Option<PathBuf>> {
-    let Some(flag) = args.next() else { return Ok(None) };
-    match (flag == "--operator", args.next(), args.next()) {
-        (true, Some(path), None) => Ok(Some(path.into())),
-        _ => bail!(USAGE),
+/// Replays captures. As with `diff`, the status tells whether there are differences.
+fn replay(config: &Path, captures: &[PathBuf]) -> Result<ExitCode> {
+    let mut out = BufWriter::new(std::io::stdout().lock());
+    let mut warn = std::io::stderr().lock();
+    let tally = capture::replay::replay(config, captures, &mut out, &mut warn)?;
+    out.flush().context("cannot write the differences")?;
+    let Tally { events, differences, skipped, unread } = tally;
+    writeln!(
+        warn,
+        "{events} events replayed, {differences} decisions differ; {skipped} events skipped after gaps, \
+         {unread} lines unread"
+    )?;
+    if events == 0 {
+        bail!("there is no start and no checkpoint to replay from");
     }
+    Ok(if differences == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn run() -> Result<()> {
-    let operator = Operator::read(operator_file(std::env::args_os().skip(1))?.as_deref())?;
+fn serve(operator: Option<&Path>) -> Result<()> {
+    let operator = Operator::read(operator)?;
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -68,6 +113,7 @@
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
+    let mut dump = signal(SignalKind::user_defined1()).context("cannot wait for SIGUSR1")?;
     let listener = client::listen(config.listen)?;
     log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
@@ -89,7 +135,9 @@
     let lists = operator.address_lists.map(AddressLists::new);
     let front = Arc::new(Front::new(names, phases, happenings.clone(), lists, figures.clone()));
     let (clients, upstreams) = (config.limits.clients(), config.limits.upstreams());
-    let driver = Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams);
+    let capture = operator.capture.as_ref();
+    let driver =
+        Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams, capture)?;
     let mut driver = tokio::spawn(driver.run(config.known));
     let serving = tokio::spawn(client::serve(listener, front, clients));
 
@@ -98,6 +146,7 @@
             _ = terminate.recv() => break log::line("SIGTERM: finishing what is held"),
             _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
             _ = hang_up.recv() => reread(&happenings),
+            _ = dump.recv() => drop(happenings.send(Happening::Dump)),
             // It never ends by itself. Without it nothing is answered: better to be started anew.
             _ = &mut driver => {
                 figures.iter().for_each(|figures| figures.finish());
@@ -112,6 +161,9 @@
         log::line("some clients have not let go in time");
     }
     figures.iter().for_each(|figures| figures.finish());
+    // With the driver the capture ends, and writes its last lines.
+    driver.abort();
+    let _ = driver.await;
     Ok(())
 }
 
--- /dev/null
+++ b/src/net/capture/replay.rs
@@ -0,0 +1,370 @@
+//! `harelock replay`: feeds captured events to the module again, and prints each decision that differs.
+
+use std::collections::HashMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result, bail};
+use sagemast::Balancer;
+use sagemast::api::*;
+
+use super::super::config::Config;
+use super::super::driver::module_settings;
+use super::line::{Line, Module, What};
+
+/// What a replay came to.
+#[derive(Debug, Default, PartialEq)]
+pub struct Tally {
+    /// Events that the module was fed.
+    pub events: u64,
+    /// Decisions that differ.
+    pub differences: u64,
+    /// Events that nothing leads up to: what came before them is not in the capture.
+    pub skipped: u64,
+    /// Lines that cannot be read.
+    pub unread: u64,
+}
+
+/// Replays captures, in the order given, under a platform's configuration. Differences go to `out`, a line each,
+/// and warnings to `warn`.
+pub fn replay(
+    config: &Path,
+    captures: &[PathBuf],
+    out: &mut dyn Write,
+    warn: &mut dyn Write,
+) -> Result<Tally> {
+    let text = std::fs::read(config).with_context(|| format!("cannot read {}", config.display()))?;
+    let config =
+        Config::parse(&text).with_context(|| format!("bad configuration in {}", config.display()))?;
+    let classes = config.settings.class_names().map(str::to_owned).collect();
+    let mut replay = Replay::new(module_settings(&config.settings), classes);
+    for path in captures {
+        let shown = path.display();
+        let file = File::open(path).with_context(|| format!("cannot read {shown}"))?;
+        let mut reader = BufReader::new(file);
+        let mut bytes = Vec::new();
+        for number in 1.. {
+            bytes.clear();
+            if reader.read_until(b'\n', &mut bytes).with_context(|| format!("cannot read {shown}"))? == 0 {
+                break;
+            }
+            let whole = bytes.ends_with(b"\n");
+            match replay.text(&bytes, out)? {
+                Ok(()) => {}
+                Err(_) if !whole => writeln!(warn, "{shown}:{number}: the last line is cut and skipped")?,
+                Err(error) => writeln!(warn, "{shown}:{number}: skipped, it cannot be read: {error}")?,
+            }
+        }
+    }
+    Ok(replay.tally)
+}
+
+/// A replay on its way.
+struct Replay {
+    settings: Settings,
+    classes: Vec<String>,
+    /// The module, once a start or a checkpoint was met.
+    module: Option<Balancer>,
+    /// The number that the next line must have to follow on.
+    next: u64,
+    /// The number of the start that the lines at hand come from, where it was met.
+    start: Option<u64>,
+    ids: HashMap<RequestId, String>,
+    hosts: HashMap<UpstreamId, String>,
+    tally: Tally,
+}
+
+impl Replay {
+    fn new(settings: Settings, classes: Vec<String>) -> Replay {
+        Replay {
+            settings,
+            classes,
+            module: None,
+            next: 0,
+            start: None,
+            ids: HashMap::new(),
+            hosts: HashMap::new(),
+            tally: Tally::default(),
+        }
+    }
+
+    /// Takes one line of a file. The log may stand between captured lines: it is passed over.
+    fn text(&mut self, bytes: &[u8], out: &mut dyn Write) -> Result<serde_json::Result<()>> {
+        if !bytes.starts_with(b"{") {
+            return Ok(Ok(()));
+        }
+        match serde_json::from_slice(bytes) {
+            Ok(line) => self.line(line, out).map(Ok),
+            Err(error) => {
+                self.tally.unread += 1;
+                Ok(Err(error))
+            }
+        }
+    }
+
+    fn line(&mut self, line: Line<'_>, out: &mut dyn Write) -> Result<()> {
+        let follows = self.module.is_some() && line.n == self.next;
+        // The same lines twice, as in two dumps of one ring.
+        let seen = self.module.is_some() && line.n < self.next;
+        match line.what {
+            What::Start { .. } if seen && self.start == Some(line.n) => return Ok(()),
+            What::Start { seed, classes } => {
+                self.same_classes(&classes)?;
+                self.module = Some(Balancer::new(self.settings.clone(), seed));
+                self.start = Some(line.n);
+                // Its ids begin anew.
+                self.ids.clear();
+                self.hosts.clear();
+            }
+            What::Checkpoint { .. } | What::Told { .. } if seen => return Ok(()),
+            // What changed settings have led to goes on.
+            What::Checkpoint { .. } if follows => {}
+            What::Checkpoint { classes, module } => {
+                self.same_classes(&classes)?;
+                let Module::Read(module) = module else { return Ok(()) };
+                let resumed = module.resume(self.settings.clone());
+                self.module = Some(resumed.context("a checkpoint does not fit the configuration")?);
+                self.start = None;
+            }
+            What::Told { at, event } => {
+                for named in &line.hosts {
+                    self.hosts.insert(named.upstream, named.host.clone().into_owned());
+                }
+                if let (Some(id), Some(request)) = (&line.id, about(&event)) {
+                    self.ids.insert(request, id.clone().into_owned());
+                }
+                let Some(module) = self.module.as_mut().filter(|_| follows) else {
+                    // Fed with a gap before it, the module would decide by what it was never told.
+                    self.module = None;
+                    self.tally.skipped += 1;
+                    return Ok(());
+                };
+                let mut did = Vec::new();
+                let request = about(&event);
+                module.handle(at, event, &mut did);
+                did.retain(|action| !matches!(action, Action::Log { .. }));
+                self.tally.events += 1;
+                self.next = line.n + 1;
+                return self.compare(line.t, request, line.did, did, out);
+            }
+        }
+        for named in line.hosts {
+            self.hosts.insert(named.upstream, named.host.into_owned());
+        }
+        self.next = line.n + 1;
+        Ok(())
+    }
+
+    /// Classes are numbers to the module: under other names they would be other classes.
+    fn same_classes(&self, classes: &[String]) -> Result<()> {
+        if classes != self.classes {
+            bail!("the capture has the classes {classes:?}, the configuration {:?}", self.classes);
+        }
+        Ok(())
+    }
+
+    /// Prints the decisions on one event that are not in both lists, those on the same matter side by side.
+    fn compare(
+        &mut self,
+        t: u64,
+        request: Option<RequestId>,
+        captured: Vec<Action>,
+        mut replayed: Vec<Action>,
+        out: &mut dyn Write,
+    ) -> Result<()> {
+        let mut only_captured = Vec::new();
+        for action in captured {
+            match replayed.iter().position(|other| *other == action) {
+                Some(same) => drop(replayed.remove(same)),
+                None => only_captured.push(action),
+            }
+        }
+        let mut pairs: Vec<(Option<Action>, Option<Action>)> = Vec::new();
+        for action in only_captured {
+            let other = replayed.iter().position(|other| matter(other) == matter(&action));
+            pairs.push((Some(action), other.map(|at| replayed.remove(at))));
+        }
+        pairs.extend(replayed.into_iter().map(|action| (None, Some(action))));
+        for (captured, replayed) in pairs {
+            let of = [&captured, &replayed].into_iter().flatten().find_map(request_of).or(request);
+            let id = match of.map(|request| (request, self.ids.get(&request))) {
+                Some((_, Some(id))) => id.clone(),
+                Some((request, None)) => format!("#{}", request.0),
+                None => "-".to_owned(),
+            };
+            let [captured, replayed] = [captured, replayed].map(|action| self.shown(action.as_ref()));
+            writeln!(out, "id={id} t={t} captured=\"{captured}\" replayed=\"{replayed}\"")?;
+            self.tally.differences += 1;
+        }
+        Ok(())
+    }
+
+    /// A decision in words.
+    fn shown(&self, action: Option<&Action>) -> String {
+        let host = |id: &UpstreamId| self.hosts.get(id).cloned().unwrap_or_else(|| format!("#{}", id.0));
+        match action {
+            None => "nothing".to_owned(),
+            Some(Action::Send { upstream, timeout, .. }) => {
+                format!("send {} timeout={timeout}", host(upstream))
+            }
+            Some(Action::Cancel { attempt, .. }) => format!("cancel attempt={}", attempt.0),
+            Some(Action::Refuse { retry_after, .. }) => format!("refuse retry_after={retry_after}"),
+            Some(Action::Fail(_)) => "fail".to_owned(),
+            Some(Action::Probe(upstream)) => format!("probe {}", host(upstream)),
+            Some(Action::WakeAt { at, token }) => format!("wake token={token} at={at}"),
+            Some(Action::Subscribe) => "subscribe".to_owned(),
+            Some(Action::Log { text, .. }) => format!("log {text}"),
+        }
+    }
+}
+
+/// The request that an event is about.
+pub fn about(event: &Event) -> Option<RequestId> {
+    match event {
+        Event::Arrived { request, .. } | Event::Abandoned(request) => Some(*request),
+        Event::Finished(end) => Some(end.request),
+        Event::Probed { .. } | Event::Listed(_) | Event::Woke(_) => None,
+    }
+}
+
+fn request_of(action: &Action) -> Option<RequestId> {
+    match action {
+        Action::Send { request, .. } | Action::Cancel { request, .. } | Action::Refuse { request, .. } => {
+            Some(*request)
+        }
+        Action::Fail(request) => Some(*request),
+        Action::Probe(_) | Action::WakeAt { .. } | Action::Subscribe | Action::Log { .. } => None,
+    }
+}
+
+/// What a decision is about: two on the same matter stand in each other's place.
+fn matter(action: &Action) -> (u8, Option<RequestId>) {
+    let kind = match action {
+        Action::Send { .. } | Action::Refuse { .. } | Action::Fail(_) => 0,
+        Action::Cancel { .. } => 1,
+        Action::Probe(_) => 2,
+        Action::WakeAt { .. } => 3,
+        Action::Subscribe => 4,
+        Action::Log { .. } => 5,
+    };
+    (kind, request_of(action))
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::super::tests::{Stage, classes, settings, small};
+    use super::*;
+
+    /// Replays files with these texts; the tally and the differences.
+    pub fn of(files: &[&str], settings: Settings) -> (Tally, Vec<String>) {
+        let mut replay = Replay::new(settings, classes());
+        let mut out = Vec::new();
+        for line in files.iter().flat_map(|text| text.split_inclusive('\n')) {
+            let _ = replay.text(line.as_bytes(), &mut out).expect("the classes are the same");
+        }
+        let lines = String::from_utf8(out).expect("text").lines().map(str::to_owned).collect();
+        (replay.tally, lines)
+    }
+
+    /// A capture from its start, and one whose ring is full.
+    fn captures() -> [String; 2] {
+        let mut stage = Stage::new(&small(), 1_718_000_000_000.0);
+        stage.run(60);
+        let young = stage.text();
+        assert!(young.contains("\"start\""));
+        stage.run(3_000);
+        [young, stage.text()]
+    }
+
+    #[test]
+    fn an_unchanged_replay_shows_no_differences() {
+        for text in captures() {
+            let (tally, lines) = of(&[&text], settings());
+            assert!(tally.differences == 0 && tally.unread == 0, "{lines:?}");
+            assert!(tally.events > 100 && tally.skipped <= 1, "{tally:?}");
+        }
+    }
+
+    /// Wherever the oldest lines end, and wherever some are missing, nothing false is printed.
+    #[test]
+    fn no_gap_makes_false_differences() {
+        let text = &captures()[1];
+        let lines: Vec<&str> = text.split_inclusive('\n').collect();
+        let mut replayed = 0;
+        for cut in (0..lines.len()).step_by(7) {
+            let (tally, told) = of(&[&lines[cut..].concat()], settings());
+            assert_eq!(tally.differences, 0, "from line {cut}: {told:?}");
+            let holed = [&lines[..cut], &lines[(cut + 2).min(lines.len())..]].concat().concat();
+            let (holed, told) = of(&[&holed], settings());
+            assert_eq!(holed.differences, 0, "without line {cut}: {told:?}");
+            replayed += tally.events + holed.events;
+        }
+        assert!(replayed > 1_000, "{replayed} events");
+    }
+
+    #[test]
+    fn a_changed_setting_shows_its_lines_with_their_ids() {
+        for text in captures() {
+            let mut changed = settings();
+            changed.limits.probes = false;
+            let (tally, lines) = of(&[&text], changed);
+            assert!(tally.differences > 0 && lines.len() as u64 == tally.differences, "{tally:?}");
+            let whole = |line: &String| {
+                line.starts_with("id=id-") && line.contains("captured=\"") && line.contains("replayed=\"")
+            };
+            assert!(lines.iter().all(whole), "{lines:?}");
+            assert!(
+                lines.iter().any(|line| line.contains("probe ") && line.contains("replayed=\"nothing\""))
+            );
+        }
+    }
+
+    #[test]
+    fn a_changed_line_is_one_difference() {
+        let text = &captures()[0];
+        let send = text.lines().rfind(|line| line.contains("\"decision\":\"send\"")).expect("a send");
+        let other = send.replace("\"timeout\":", "\"timeout\":1");
+        let (tally, lines) = of(&[&text.replace(send, &other)], settings());
+        assert_eq!((tally.differences, lines.len()), (1, 1), "{lines:?}");
+        assert!(lines[0].contains("captured=\"send ") && lines[0].contains("replayed=\"send "), "{lines:?}");
+    }
+
+    #[test]
+    fn unknown_fields_and_the_log_are_passed_over_and_cut_lines_skipped() {
+        let text = &captures()[0];
+        let whole = of(&[text], settings()).0;
+        let noted = text.replace("{\"t\":", "{\"colour\":{\"n\":[1,\"x\"]},\"t\":");
+        assert_eq!(of(&[&noted], settings()).0, whole);
+        let logged = text.replace('\n', "\nsagemast: a line\nharelock.in_flight:0|g|#class:other\n");
+        assert_eq!(of(&[&logged], settings()).0, whole);
+        let cut = &text[..text.len() - 20];
+        let tally = of(&[cut], settings()).0;
+        assert_eq!((tally.events, tally.unread, tally.differences), (whole.events - 1, 1, 0));
+    }
+
+    #[test]
+    fn a_restart_begins_anew_and_nothing_is_replayed_twice() {
+        let [young, old] = captures();
+        let mut next = Stage::new(&small(), 1_718_000_900_000.0);
+        next.run(40);
+        let (first, second) = (of(&[&young], settings()).0, of(&[&next.text()], settings()).0);
+        let (both, lines) = of(&[&young, &next.text()], settings());
+        assert_eq!((both.events, both.differences), (first.events + second.events, 0), "{lines:?}");
+        // The next run's start is gone, too: its numbers cannot be taken for the first one's.
+        next.run(3_000);
+        assert_eq!(of(&[&young, &next.text()], settings()).0.differences, 0);
+        // Two dumps of one ring in one log.
+        let once = of(&[&old], settings()).0;
+        assert_eq!(of(&[&old, &old], settings()).0.events, once.events);
+        assert_eq!(of(&[&young, &young], settings()).0.events, first.events);
+    }
+
+    #[test]
+    fn other_classes_are_refused() {
+        let mut replay = Replay::new(settings(), vec!["fetch".to_owned()]);
+        let text = &captures()[0];
+        let line = text.lines().next().expect("a line");
+        assert!(replay.text(line.as_bytes(), &mut Vec::new()).is_err());
+    }
+}
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -67,7 +67,7 @@
 
 impl Names {
     /// The class that a path names.
-    fn class_of(&self, uri: &Uri) -> Option<usize> {
+    pub fn class_of(&self, uri: &Uri) -> Option<usize> {
         let first = uri.path().trim_start_matches('/').split('/').next()?;
         self.classes.iter().position(|(name, _)| name == first)
     }
@@ -123,6 +123,11 @@
     pub fn id(&self) -> &str {
         self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("?")
     }
+
+    /// How long its client said that it waits.
+    pub fn timeout_ms(&self) -> Option<u64> {
+        self.headers.get("x-timeout-ms")?.to_str().ok()?.trim().parse().ok()
+    }
 }
 
 /// A request for the driver.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use anyhow::Result;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
@@ -16,10 +17,12 @@
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
+use super::capture::{About, Capture, line::Named};
 use super::client::{Arrival, Final, Forward, Front, Who, end_to_end};
 use super::counters::{Counters, name_of};
 use super::discovery::{AbortOnDrop, Health, Host, HostList, Watch};
 use super::log;
+use super::operator::Capture as CaptureSettings;
 use super::upstream::{Answer, Connection, End, Permits, Pool, Source, attempt, probe};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time.
@@ -91,6 +94,8 @@
         /// Where discovery is now.
         discovery: SocketAddr,
     },
+    /// The operators want to see the capture.
+    Dump,
     /// A call to discovery failed or the watch ended.
     DiscoveryFailed {
         /// The version to go on from: 0 if something was missed.
@@ -101,6 +106,7 @@
 /// A send that has not ended.
 struct Sent {
     flight: Flight,
+    forward: Arc<Forward>,
     at: Instant,
     /// Dropped or used to give it up; `None` once that was done.
     give_up: Option<oneshot::Sender<()>>,
@@ -161,6 +167,16 @@
     permits: Permits,
     actions: Vec<Action>,
     counters: Counters,
+    capture: Option<Capture>,
+}
+
+/// What the module is told of the settings.
+pub fn module_settings(settings: &SettingsObject) -> Settings {
+    let mut told = settings.settings();
+    // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
+    // its way at once. Here it may first have to connect.
+    told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
+    told
 }
 
 impl Driver {
@@ -172,13 +188,15 @@
         front: Arc<Front>,
         inbox: mpsc::UnboundedReceiver<Happening>,
         max_connections: usize,
-    ) -> Driver {
+        capture: Option<&CaptureSettings>,
+    ) -> Result<Driver> {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-        let mut told = settings.settings();
-        // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
-        // its way at once. Here it may first have to connect.
-        told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
-        Driver {
+        let epoch_unix_ms = unix.map_or(0.0, |since| since.as_secs_f64() * 1e3);
+        let told = module_settings(&settings);
+        let classes = || settings.class_names().map(str::to_owned).collect();
+        let capture =
+            capture.map(|capture| Capture::start(capture, classes(), seed, epoch_unix_ms)).transpose()?;
+        Ok(Driver {
             subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
             module: Balancer::new(told, seed),
             columns: settings.columns(),
@@ -189,7 +207,7 @@
             seq: 0,
             watch: None,
             epoch: Instant::now(),
-            epoch_unix_ms: unix.map_or(0.0, |since| since.as_secs_f64() * 1e3),
+            epoch_unix_ms,
             open: HashMap::new(),
             sent: BTreeMap::new(),
             names: HashMap::new(),
@@ -200,8 +218,9 @@
             permits: Arc::new(Semaphore::new(max_connections)),
             actions: Vec::new(),
             counters: Counters::default(),
+            capture,
             settings,
-        }
+        })
     }
 
     /// Runs for good.
@@ -254,13 +273,15 @@
                 Timer::Wake(token) => self.event(Event::Woke(token)),
                 Timer::Backstop(request) => {
                     // The module answers in time unless it is at fault or the process was held up.
-                    self.counters.overdue += u32::from(self.open.contains_key(&request));
+                    let forward = self.open.get(&request).map(|open| open.forward.clone());
+                    self.counters.overdue += u32::from(forward.is_some());
                     self.finish(request, Final::Failed);
-                    self.leave(request);
+                    self.leave(request, forward.as_deref(), "overdue");
                 }
                 Timer::Sweep => {
                     let limit = self.idle_limit();
                     self.servers.values_mut().for_each(|server| server.pool.sweep(limit));
+                    self.capture.iter_mut().for_each(Capture::save);
                     self.set_timer(now + SWEEP, Timer::Sweep);
                 }
                 Timer::Report => {
@@ -288,24 +309,69 @@
 
     /// Hands an event to the module and does what it says.
     fn event(&mut self, event: Event) {
+        self.event_of(event, None, None);
+    }
+
+    /// The same for an event about a request; `why` is for the capture.
+    fn event_of(&mut self, event: Event, request: Option<&Forward>, why: Option<&'static str>) {
         let now = self.millis(Instant::now());
         let mut actions = std::mem::take(&mut self.actions);
+        let kept = self.capture.is_some().then(|| event.clone());
         self.module.handle(now, event, &mut actions);
+        if let Some(event) = kept {
+            self.keep(now, event, &actions, request, why);
+        }
         for action in actions.drain(..) {
             self.act(action);
         }
         self.actions = actions;
     }
 
+    /// Adds an event to the capture.
+    fn keep(
+        &mut self,
+        now: Millis,
+        event: Event,
+        did: &[Action],
+        request: Option<&Forward>,
+        why: Option<&'static str>,
+    ) {
+        let (Some(capture), servers) = (&mut self.capture, &self.servers) else { return };
+        let named = |server: &'_ Server| Named {
+            upstream: server.listing.upstream,
+            host: server.host.clone().into(),
+            dial: server.dial.to_string().into(),
+        };
+        let classes = &self.front.names;
+        let class = request.and_then(|request| classes.class_of(&request.target));
+        let listed = match &event {
+            Event::Listed(ListNews::Restored(list) | ListNews::Complete(list) | ListNews::Changed(list)) => {
+                &list[..]
+            }
+            _ => &[],
+        };
+        let about = About {
+            id: request.map(Forward::id),
+            class: class.map(|class| classes.classes[class].0.as_str()),
+            timeout_ms: request.and_then(Forward::timeout_ms),
+            why,
+            hosts: listed.iter().filter_map(|listing| servers.get(&listing.upstream)).map(named).collect(),
+        };
+        let name = |id| servers.get(&id).map(|server| server.host.as_str());
+        capture
+            .record(&self.module, (now, event), did, about, name, || servers.values().map(named).collect());
+    }
+
     fn happened(&mut self, happening: Happening) {
         match happening {
             Happening::Arrived(arrival) => self.arrived(*arrival),
             Happening::ClientLeft(request) => {
-                if let Some(open) = self.open.remove(&request) {
+                let open = self.open.remove(&request);
+                if let Some(open) = &open {
                     self.counters.left += 1;
                     self.timers.remove(&open.timer);
                 }
-                self.leave(request);
+                self.leave(request, open.as_ref().map(|open| &*open.forward), "its client left");
             }
             Happening::Connected(flight, connection) => self.connected(flight, connection),
             Happening::Ended { flight, end } => self.ended(flight, end),
@@ -328,6 +394,10 @@
                     self.watch = Some(self.start_watch());
                 }
             }
+            Happening::Dump => match &self.capture {
+                Some(capture) => capture.dump(),
+                None => log::line("SIGUSR1: capture is off"),
+            },
             Happening::DiscoveryFailed { seq } => {
                 self.seq = seq;
                 self.event(Event::Listed(ListNews::Unavailable));
@@ -341,15 +411,16 @@
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
         self.counters.arrived += 1;
         let (forward, trail) = (Arc::new(forward), String::new());
+        let kept = forward.clone();
         let open = Open { forward, who, reply, sends: 0, at, deadline, timer, trail };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
-        self.event(Event::Arrived { request, class, tenant, time_left });
+        self.event_of(Event::Arrived { request, class, tenant, time_left }, Some(&kept), None);
     }
 
     /// Tells the module that a request is over without it, and ends what is out for it.
-    fn leave(&mut self, request: RequestId) {
-        self.event(Event::Abandoned(request));
+    fn leave(&mut self, request: RequestId, forward: Option<&Forward>, why: &'static str) {
+        self.event_of(Event::Abandoned(request), forward, Some(why));
         self.give_up_all(request);
     }
 
@@ -421,7 +492,8 @@
         };
         let life = self.servers.get(&upstream).map_or(0, |server| server.life);
         let flight = Flight { request, attempt, upstream, life, until };
-        self.sent.insert((request, attempt), Sent { flight, at: now, give_up: None });
+        let forward = open.forward.clone();
+        self.sent.insert((request, attempt), Sent { flight, forward, at: now, give_up: None });
         self.start(flight);
     }
 
@@ -558,7 +630,7 @@
             self.finish(flight.request, Final::Served(client_headers(&answer.headers), answer.body));
             closed = true;
         }
-        self.event(Event::Finished(Finished {
+        let finished = Finished {
             request: flight.request,
             attempt: flight.attempt,
             upstream: flight.upstream,
@@ -566,7 +638,8 @@
             latency,
             closed,
             report,
-        }));
+        };
+        self.event_of(Event::Finished(finished), Some(&sent.forward), None);
     }
 
     /// Notes an attempt that did not serve its request with it.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! what happened through a channel.
 
 pub mod address_lists;
+pub mod capture;
 pub mod client;
 pub mod config;
 pub mod counted;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -17,6 +17,8 @@
     pub address_lists: Option<AddressLists>,
     /// Figures for a collector.
     pub figures: Option<Figures>,
+    /// What the module is told and decides, kept for later.
+    pub capture: Option<Capture>,
 }
 
 /// Settings of the address lists.
@@ -58,6 +60,29 @@
     }
 }
 
+/// Settings of the capture.
+#[derive(Deserialize, Debug)]
+#[serde(deny_unknown_fields, default)]
+pub struct Capture {
+    /// How much is held in memory.
+    #[serde(deserialize_with = "within::<_, 16, 65_536>")]
+    pub ring_kb: usize,
+    /// Where files go; without one there are none.
+    pub folder: Option<PathBuf>,
+    /// How many files are kept.
+    #[serde(deserialize_with = "within::<_, 1, 10_000>")]
+    pub files: usize,
+    /// How large one is at most.
+    #[serde(deserialize_with = "within::<_, 8, 1_048_576>")]
+    pub file_kb: usize,
+}
+
+impl Default for Capture {
+    fn default() -> Capture {
+        Capture { ring_kb: 768, folder: None, files: 8, file_kb: 1_024 }
+    }
+}
+
 /// How figures are written.
 #[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
 #[serde(rename_all = "snake_case")]
@@ -144,7 +169,7 @@
     #[test]
     fn what_is_not_named_is_off() {
         let operator = Operator::parse(b"{}").expect("an empty file is sound");
-        assert!(operator.address_lists.is_none() && operator.figures.is_none());
+        assert!(operator.address_lists.is_none() && operator.figures.is_none() && operator.capture.is_none());
         assert!(Operator::read(None).expect("no file").address_lists.is_none());
     }
 
@@ -155,6 +180,13 @@
         assert_eq!((lists.allow.len(), lists.deny.len(), lists.proxy_trusted.len()), (0, 2, 0));
     }
 
+    #[test]
+    fn the_capture_is_read() {
+        let capture = Operator::parse(br#"{"capture":{}}"#).expect("sound").capture.expect("on");
+        assert_eq!((capture.ring_kb, capture.files, capture.file_kb), (768, 8, 1_024));
+        assert!(capture.folder.is_none());
+    }
+
     #[test]
     fn the_figures_are_read() {
         let figures = |text: &str| Operator::parse(text.as_bytes()).expect("sound").figures.expect("on");
@@ -181,6 +213,11 @@
             (r#"{"address_lists":{"allow":"10.8.1.0/24"}}"#, "address_lists.allow"),
             (r#"{"address_lists":{"proxy_trusted":["front"]}}"#, "address_lists.proxy_trusted[0]"),
             (r#"{"address_lists":{"deny":[],"deny":[]}}"#, "deny"),
+            (r#"{"capture":{"ring_kb":0}}"#, "capture.ring_kb"),
+            (r#"{"capture":{"files":"8"}}"#, "capture.files"),
+            (r#"{"capture":{"file_kb":1.5}}"#, "capture.file_kb"),
+            (r#"{"capture":{"folder":7}}"#, "capture.folder"),
+            (r#"{"capture":{"ring":1}}"#, "ring"),
             (r#"{"figures":{"format":"graphite"}}"#, "figures.format"),
             (r#"{"figures":{"flush_ms":0}}"#, "figures.flush_ms"),
             (r#"{"figures":{"buffer_kb":-1}}"#, "figures.buffer_kb"),
--- a/src/net/output.rs
+++ b/src/net/output.rs
@@ -30,6 +30,7 @@
 pub struct Share {
     jobs: Sender<Job>,
     budget: Arc<Semaphore>,
+    bytes: usize,
 }
 
 impl Output {
@@ -46,7 +47,7 @@
 
     /// A share for one source.
     pub fn share(&self, bytes: usize) -> Share {
-        Share { jobs: self.jobs.clone(), budget: Arc::new(Semaphore::new(bytes)) }
+        Share { jobs: self.jobs.clone(), budget: Arc::new(Semaphore::new(bytes)), bytes }
     }
 
     /// Waits until all that was handed over is written, but no longer than this. Blocks: for the end only.
@@ -79,6 +80,14 @@
             Err(_) => false,
         }
     }
+
+    /// Hands over a part of something large once there is room for it.
+    pub async fn hand(&self, bytes: Bytes) {
+        let size = bytes.len().min(self.bytes).try_into().unwrap_or(u32::MAX);
+        if let Ok(permit) = self.budget.clone().acquire_many_owned(size).await {
+            let _ = self.jobs.send(Job::Write(bytes, permit));
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::api::*;
 
 /// One send of a request.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Try {
     pub upstream: UpstreamId,
     pub zone: ZoneId,
@@ -23,7 +25,7 @@
 }
 
 /// A request that is owed an answer.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Held {
     pub class: ClassId,
     pub tenant: TenantId,
@@ -40,7 +42,7 @@
 }
 
 /// One of our sends that a server has not answered.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Outstanding {
     pub request: RequestId,
     pub attempt: AttemptNo,
@@ -51,7 +53,7 @@
 }
 
 /// What is known of one class, times from answers that met no queue.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Service {
     /// Running median.
     pub time: Millis,
@@ -74,7 +76,7 @@
 }
 
 /// What is known of one kind of machine, or of all of them.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Kind {
     /// Running means of what its servers report; their ratio is κ.
     pub in_flight: f64,
@@ -108,7 +110,7 @@
 }
 
 /// What one sidecar has learnt of its surroundings as a whole.
-#[derive(Debug)]
+#[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Learnt {
     /// By class.
     pub service: Vec<Service>,
@@ -130,6 +132,7 @@
     pub ask_wait: Millis,
     pub ask_pending: bool,
     /// When the grounds of a refusal were last told.
+    #[serde(with = "crate::exact::time")]
     pub explained_at: Millis,
 }
 
@@ -153,14 +156,14 @@
 }
 
 /// Whether a server takes part in the draw.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Health {
     Ready,
     Ejected { until: Millis, wait: Millis },
 }
 
 /// What is known of one server.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Upstream {
     pub zone: ZoneId,
     pub cell: CellId,
@@ -173,19 +176,22 @@
     pub mean_in_flight: f64,
     /// Running mean of what others have in flight there: its reports less our own.
     pub others: f64,
+    #[serde(with = "crate::exact::time")]
     pub reported_at: Millis,
     pub probe_sent: Option<Millis>,
     pub outstanding: Vec<Outstanding>,
     /// Service time relative to the mean of all servers.
     pub slowness: f64,
+    #[serde(with = "crate::exact::time")]
     pub learnt_at: Millis,
+    #[serde(with = "crate::exact::time")]
     pub answered_at: Millis,
     pub failure_rate: f64,
     pub health: Health,
 }
 
 /// A server as one request sees it.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Candidate {
     pub id: UpstreamId,
     pub near: bool,
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -3,7 +3,7 @@
 mod loopback;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
+use std::io::BufRead;
 use std::net::UdpSocket;
 use std::sync::mpsc;
 
@@ -168,17 +168,7 @@
     let known = ready(&[&upstream]);
     let discovery = Discovery::new(&known);
     let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
-    let mut child = spawn_operated(&text, r#"{"figures":{"flush_ms":10,"buffer_kb":4}}"#);
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    let address = loop {
-        line.clear();
-        assert!(log.read_line(&mut line).unwrap() > 0);
-        if let Some((_, address)) = line.split_once("listening on ") {
-            break address.trim().parse().unwrap();
-        }
-    };
-    until("it is up", || Client::to(address).get("/up").is_some_and(|got| got.status() == 200));
+    let (mut child, log, address) = spawn_unread(&text, r#"{"figures":{"flush_ms":10,"buffer_kb":4}}"#);
     // Past what the pipe, the writer and the buffer hold together.
     let mut client = Client::to(address);
     for _ in 0..3_000 {
--- a/tests/loopback/mod.rs
+++ b/tests/loopback/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
@@ -292,6 +292,21 @@
     spawn_with(config, Some(operator), None).0
 }
 
+/// The same, with its standard error read no further than to where it listens.
+pub fn spawn_unread(config: &str, operator: &str) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+    let mut child = spawn_operated(config, operator);
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let address = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ends before it listens");
+        if let Some((_, address)) = line.split_once("listening on ") {
+            break address.trim().parse().unwrap();
+        }
+    };
+    until("it is up", || Client::to(address).get("/up").is_some_and(|got| got.status() == 200));
+    (child, log, address)
+}
+
 /// A file of its own under the tests' folder.
 pub fn file(text: &str) -> std::path::PathBuf {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
