--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,9 @@
 
 use crate::api::*;
 
+/// A time that lies before all others, but is finite: a checkpoint keeps times as numbers.
+const NEVER: Millis = f64::MIN;
+
 /// One send of a request.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Try {
@@ -132,7 +135,6 @@
     pub ask_wait: Millis,
     pub ask_pending: bool,
     /// When the grounds of a refusal were last told.
-    #[serde(with = "crate::exact::time")]
     pub explained_at: Millis,
 }
 
@@ -150,7 +152,7 @@
             first_at: None,
             ask_wait: 0.0,
             ask_pending: false,
-            explained_at: f64::NEG_INFINITY,
+            explained_at: NEVER,
         }
     }
 }
@@ -176,15 +178,12 @@
     pub mean_in_flight: f64,
     /// Running mean of what others have in flight there: its reports less our own.
     pub others: f64,
-    #[serde(with = "crate::exact::time")]
     pub reported_at: Millis,
     pub probe_sent: Option<Millis>,
     pub outstanding: Vec<Outstanding>,
     /// Service time relative to the mean of all servers.
     pub slowness: f64,
-    #[serde(with = "crate::exact::time")]
     pub learnt_at: Millis,
-    #[serde(with = "crate::exact::time")]
     pub answered_at: Millis,
     pub failure_rate: f64,
     pub health: Health,
@@ -223,12 +222,12 @@
             kappa: None,
             mean_in_flight: 0.0,
             others: 0.0,
-            reported_at: f64::NEG_INFINITY,
+            reported_at: NEVER,
             probe_sent: None,
             outstanding: Vec::new(),
             slowness: 1.0,
-            learnt_at: f64::NEG_INFINITY,
-            answered_at: f64::NEG_INFINITY,
+            learnt_at: NEVER,
+            answered_at: NEVER,
             failure_rate: 0.0,
             health: Health::Ready,
         }
