--- a/src/main.rs
+++ b/src/main.rs
@@ -4,24 +4,27 @@
 
 use std::ffi::OsString;
 use std::io::{BufWriter, Write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use net::address_lists::AddressLists;
 use net::capture::{self, replay::Tally};
-use net::client::{self, Front, Names, Phase};
+use net::client::{self, Doors, Front, Names, Phase};
 use net::config::Config;
 use net::driver::{Driver, Happening};
 use net::figures::Figures;
 use net::log;
-use net::operator::Operator;
+use net::operator::{self, Operator};
+use net::tls::{Source, Tls};
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -117,6 +120,10 @@
     let listener = client::listen(config.listen)?;
     log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
+    let tls = match &operator.tls {
+        Some(settings) if settings.port.is_some() => Some(tls_door(settings, address)?),
+        _ => None,
+    };
     log::line(format!("listening on {address}"));
     let (phase, phases) = watch::channel(Phase::Open);
     let (happenings, inbox) = mpsc::unbounded_channel();
@@ -139,7 +146,8 @@
     let driver =
         Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams, capture)?;
     let mut driver = tokio::spawn(driver.run(config.known));
-    let serving = tokio::spawn(client::serve(listener, front, clients));
+    let doors = Doors { plain: listener, tls };
+    let serving = tokio::spawn(client::serve(doors, front, clients));
 
     loop {
         tokio::select! {
@@ -167,6 +175,17 @@
     Ok(())
 }
 
+/// Opens the port for TLS beside the plain one.
+fn tls_door(settings: &operator::Tls, plain: SocketAddr) -> Result<(TcpListener, Arc<Tls>)> {
+    let tls = Arc::new(Tls::start(Source::new(settings)?)?);
+    let at = SocketAddr::new(plain.ip(), settings.port.unwrap_or_default());
+    let listener = client::listen(at).context("tls.port")?;
+    let address = listener.local_addr().context("the listener has no address")?;
+    log::line(format!("tls: handshakes on {address}"));
+    tokio::spawn(tls.clone().keep_fresh(Duration::from_secs(settings.reload_s as u64)));
+    Ok((listener, tls))
+}
+
 /// Reads the configuration again and tells the driver what may change while it runs. A file that cannot be used
 /// is no reason to stop serving by the one that could.
 fn reread(happenings: &mpsc::UnboundedSender<Happening>) {
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -21,11 +21,14 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio_rustls::TlsAcceptor;
+use tokio_rustls::rustls::ServerConfig;
 
 use super::address_lists::{AddressLists, Client};
 use super::driver::Happening;
 use super::figures::{Figures, InFlight};
 use super::log;
+use super::tls::{self, Tls};
 use super::upstream::BODY_BYTES;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
@@ -94,15 +97,27 @@
 }
 
 /// Who is at the other end of a connection, as far as the operators' features tell.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Default)]
 pub struct Who {
     /// The client that the connection speaks for.
     pub client: Option<Client>,
+    /// The subject of the certificate that it has shown.
+    pub subject: Option<String>,
+}
+
+impl Who {
+    /// Tells of a connection where there is more to tell than that it is one.
+    fn announce(&self, peer: SocketAddr) {
+        if self.client.is_some() || self.subject.is_some() {
+            log::line(format!("{self}connected from {peer}"));
+        }
+    }
 }
 
 impl Display for Who {
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
-        self.client.map_or(Ok(()), |client| write!(f, "{client} "))
+        self.client.map_or(Ok(()), |client| write!(f, "{client} "))?;
+        self.subject.as_ref().map_or(Ok(()), |subject| write!(f, "subject=\"{subject}\" "))
     }
 }
 
@@ -203,27 +218,48 @@
     Ok(socket.listen(BACKLOG)?)
 }
 
+/// Where clients come in.
+pub struct Doors {
+    /// The plain port.
+    pub plain: TcpListener,
+    /// The one behind which a handshake comes first, if there is one.
+    pub tls: Option<(TcpListener, Arc<Tls>)>,
+}
+
+impl Doors {
+    /// The next one who comes in, and what its handshake goes by if it owes one.
+    async fn accept(&self) -> std::io::Result<(TcpStream, SocketAddr, Option<Arc<ServerConfig>>)> {
+        let Some((listener, tls)) = &self.tls else {
+            return self.plain.accept().await.map(|(stream, peer)| (stream, peer, None));
+        };
+        tokio::select! {
+            plain = self.plain.accept() => plain.map(|(stream, peer)| (stream, peer, None)),
+            other = listener.accept() => other.map(|(stream, peer)| (stream, peer, Some(tls.config()))),
+        }
+    }
+}
+
 /// Accepts clients until the end: when it is closing, none is open and none waits to be accepted.
-pub async fn serve(listener: TcpListener, front: Arc<Front>, max_connections: usize) {
+pub async fn serve(doors: Doors, front: Arc<Front>, max_connections: usize) {
     let permits = Arc::new(Semaphore::new(max_connections));
     let mut phase = front.phase.clone();
     loop {
         let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let accepted = tokio::select! {
             biased;
-            accepted = listener.accept() => accepted,
+            accepted = doors.accept() => accepted,
             () = all_done(&mut phase, &front) => return,
         };
         match accepted {
-            Ok((_, peer)) if front.turns_away(peer) => {
+            Ok((_, peer, _)) if front.turns_away(peer) => {
                 log::line(format!("connection from client={} is denied", peer.ip().to_canonical()));
             }
-            Ok((stream, peer)) => {
+            Ok((stream, peer, handshake)) => {
                 front.connections.fetch_add(1, Ordering::Relaxed);
                 let crowded = permits.available_permits() * 4 < max_connections;
                 let front = front.clone();
                 tokio::spawn(async move {
-                    welcome(stream, peer, &front, crowded).await;
+                    welcome(stream, peer, handshake, &front, crowded).await;
                     front.connections.fetch_sub(1, Ordering::Relaxed);
                     drop(permit);
                 });
@@ -246,11 +282,17 @@
     }
 }
 
-/// Finds out whom a new connection speaks for, where that is asked, and serves it.
-async fn welcome(mut stream: TcpStream, peer: SocketAddr, front: &Arc<Front>, crowded: bool) {
+/// Finds out who is at the other end of a new connection, as far as that is asked, and serves it.
+async fn welcome(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    handshake: Option<Arc<ServerConfig>>,
+    front: &Arc<Front>,
+    crowded: bool,
+) {
     let opened = Instant::now();
     let _ = stream.set_nodelay(true);
-    let mut who = Who { client: None };
+    let mut who = Who::default();
     let mut first = BytesMut::new();
     if let Some(lists) = &front.lists {
         let identified = tokio::select! {
@@ -262,12 +304,27 @@
             Ok(client) => who.client = Some(client),
             Err(reason) => return log::line(format!("connection closed: {reason}")),
         }
-        log::line(format!("{who}connected from {peer}"));
     }
     let (reading, writing) = stream.into_split();
     // What came with a header, or while none was found, is read before what is still to come.
     let stream = join(std::io::Cursor::new(first.freeze()).chain(reading), writing);
-    connection(stream, Arc::new(who), opened, front, crowded).await;
+    let Some(handshake) = handshake else {
+        who.announce(peer);
+        return connection(stream, Arc::new(who), opened, front, crowded).await;
+    };
+    let accepted = tokio::select! {
+        biased;
+        accepted = TlsAcceptor::from(handshake).accept(stream) => accepted.map_err(|error| error.to_string()),
+        () = out_of_time(opened, front.phase.clone()) => Err("the handshake did not end".to_owned()),
+    };
+    match accepted {
+        Ok(stream) => {
+            who.subject = tls::subject(stream.get_ref().1);
+            who.announce(peer);
+            connection(stream, Arc::new(who), opened, front, crowded).await;
+        }
+        Err(reason) => log::line(format!("{who}connection from {peer} closed: tls: {reason}")),
+    }
 }
 
 /// Comes back when a peer that has sent nothing whole yet must be let go.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,4 +13,5 @@
 pub mod log;
 pub mod operator;
 pub mod output;
+pub mod tls;
 pub mod upstream;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -19,6 +19,8 @@
     pub figures: Option<Figures>,
     /// What the module is told and decides, kept for later.
     pub capture: Option<Capture>,
+    /// A port for applications on other hosts.
+    pub tls: Option<Tls>,
 }
 
 /// Settings of the address lists.
@@ -83,6 +85,49 @@
     }
 }
 
+/// Settings of TLS. Without a port it is off.
+#[derive(Deserialize, Debug)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tls {
+    /// The port, on the host of the plain one.
+    pub port: Option<u16>,
+    /// The certificate chain, in PEM.
+    pub cert_file: Option<PathBuf>,
+    /// Its private key, in PEM.
+    pub key_file: Option<PathBuf>,
+    /// The oldest version that is spoken.
+    pub min_version: Version,
+    /// Who must have signed the certificates of clients, in PEM; without it none are asked for.
+    pub client_ca_file: Option<PathBuf>,
+    /// How often the files are read again.
+    #[serde(deserialize_with = "within::<_, 1, 86_400>")]
+    pub reload_s: usize,
+}
+
+impl Default for Tls {
+    fn default() -> Tls {
+        Tls {
+            port: None,
+            cert_file: None,
+            key_file: None,
+            min_version: Version::Tls12,
+            client_ca_file: None,
+            reload_s: 30,
+        }
+    }
+}
+
+/// A version of TLS.
+#[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
+pub enum Version {
+    /// 1.2.
+    #[serde(rename = "1.2")]
+    Tls12,
+    /// 1.3.
+    #[serde(rename = "1.3")]
+    Tls13,
+}
+
 /// How figures are written.
 #[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
 #[serde(rename_all = "snake_case")]
@@ -169,7 +214,8 @@
     #[test]
     fn what_is_not_named_is_off() {
         let operator = Operator::parse(b"{}").expect("an empty file is sound");
-        assert!(operator.address_lists.is_none() && operator.figures.is_none() && operator.capture.is_none());
+        assert!(operator.address_lists.is_none() && operator.figures.is_none());
+        assert!(operator.capture.is_none() && operator.tls.is_none());
         assert!(Operator::read(None).expect("no file").address_lists.is_none());
     }
 
@@ -180,6 +226,14 @@
         assert_eq!((lists.allow.len(), lists.deny.len(), lists.proxy_trusted.len()), (0, 2, 0));
     }
 
+    #[test]
+    fn tls_is_read() {
+        let tls = |text: &str| Operator::parse(text.as_bytes()).expect("sound").tls.expect("a section");
+        let usual = tls(r#"{"tls":{}}"#);
+        assert_eq!((usual.port, usual.min_version, usual.reload_s), (None, Version::Tls12, 30));
+        assert_eq!(tls(r#"{"tls":{"port":7443,"min_version":"1.3"}}"#).min_version, Version::Tls13);
+    }
+
     #[test]
     fn the_capture_is_read() {
         let capture = Operator::parse(br#"{"capture":{}}"#).expect("sound").capture.expect("on");
@@ -213,6 +267,10 @@
             (r#"{"address_lists":{"allow":"10.8.1.0/24"}}"#, "address_lists.allow"),
             (r#"{"address_lists":{"proxy_trusted":["front"]}}"#, "address_lists.proxy_trusted[0]"),
             (r#"{"address_lists":{"deny":[],"deny":[]}}"#, "deny"),
+            (r#"{"tls":{"port":70000}}"#, "tls.port"),
+            (r#"{"tls":{"min_version":"1.1"}}"#, "tls.min_version"),
+            (r#"{"tls":{"reload_s":0}}"#, "tls.reload_s"),
+            (r#"{"tls":{"cert":"x"}}"#, "cert"),
             (r#"{"capture":{"ring_kb":0}}"#, "capture.ring_kb"),
             (r#"{"capture":{"files":"8"}}"#, "capture.files"),
             (r#"{"capture":{"file_kb":1.5}}"#, "capture.file_kb"),
