--- a/src/net/capture/files.rs
+++ b/src/net/capture/files.rs
@@ -13,8 +13,6 @@
 
 /// How much may wait for a slow disk.
 const WAITING_BYTES: usize = 256 << 10;
-/// How long the last lines may take.
-const LAST_LINES: Duration = Duration::from_millis(50);
 /// The names of the files, whose order is that of time: start of the run, and number within it.
 const PREFIX: &str = "capture-";
 const SUFFIX: &str = ".jsonl";
@@ -26,6 +24,8 @@
     file_bytes: usize,
     segment_bytes: usize,
     written: usize,
+    /// Whether what comes next belongs into the next file.
+    due: bool,
     /// Whether lines were lost since that was last told.
     losing: bool,
 }
@@ -45,13 +45,17 @@
         disk.next().with_context(|| format!("capture.folder: {}", folder.display()))?;
         let output = Output::start("capture", move |lines| disk.take(lines)).context("capture.folder")?;
         let share = output.share(WAITING_BYTES);
-        Ok(Files { output, share, file_bytes, segment_bytes, written: 0, losing: false })
+        Ok(Files { output, share, file_bytes, segment_bytes, written: 0, due: false, losing: false })
     }
 
     /// Appends whole lines. Where the disk is too slow for them they are lost, and the gap shows in their numbers.
     pub fn append(&mut self, lines: &[u8]) {
-        self.written += lines.len();
-        let took = self.share.offer(Bytes::copy_from_slice(lines));
+        // Nothing to write means the next file. While that finds no room, lines would make the last one too long.
+        if self.due && self.share.offer(Bytes::new()) {
+            (self.due, self.written) = (false, 0);
+        }
+        let took = !self.due && self.share.offer(Bytes::copy_from_slice(lines));
+        self.written += if took { lines.len() } else { 0 };
         if !took && !self.losing {
             log::line("capture: the disk is too slow; lines are missing from the files");
         }
@@ -60,16 +64,12 @@
 
     /// A segment begins: in a file of its own if this one might not hold it.
     pub fn next_segment(&mut self) {
-        if self.written + self.segment_bytes > self.file_bytes {
-            self.written = 0;
-            // Nothing to write means the next file.
-            self.share.offer(Bytes::new());
-        }
+        self.due |= self.written + self.segment_bytes > self.file_bytes;
     }
 
-    /// Gives the last lines a moment.
-    pub fn finish(&self) {
-        self.output.flush(LAST_LINES);
+    /// Waits until all is written, but no longer than this.
+    pub fn finish(&self, within: Duration) {
+        self.output.flush(within);
     }
 }
 
--- a/src/net/capture/mod.rs
+++ b/src/net/capture/mod.rs
@@ -13,6 +13,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use anyhow::Result;
 use bytes::{Bytes, BytesMut};
@@ -36,6 +37,9 @@
 /// Files are given what came together when it is this much, or once in a while.
 const SAVE_BYTES: usize = 16 << 10;
 
+/// How long the last lines may take to be written to their file.
+const LAST_LINES: Duration = Duration::from_millis(50);
+
 /// What a line says about its event beside the event itself.
 #[derive(Default)]
 pub struct About<'a> {
@@ -267,7 +271,7 @@
     fn drop(&mut self) {
         self.save();
         if let Some(files) = &self.files {
-            files.finish();
+            files.finish(LAST_LINES);
         }
     }
 }
@@ -413,6 +417,15 @@
             }
         }
 
+        /// The same, with all of it written to its files before it ends, however slow the disk is.
+        fn run_to_disk(mut self, requests: u64) {
+            for _ in 0..requests.div_ceil(10) {
+                self.run(requests.min(10));
+                self.capture.save();
+                self.capture.files.iter().for_each(|files| files.finish(Duration::from_secs(30)));
+            }
+        }
+
         pub fn text(&self) -> String {
             let ring: Vec<u8> = self.capture.snapshot().concat();
             String::from_utf8(ring).expect("text")
@@ -511,14 +524,10 @@
             paths.sort();
             paths
         };
-        let mut first = Stage::new(&on_disk, 1_718_000_000_000.0);
-        first.run(1_000);
-        drop(first);
+        Stage::new(&on_disk, 1_718_000_000_000.0).run_to_disk(1_000);
         assert_eq!(names().len(), 3);
         std::fs::write(folder.join("notes.txt"), "not ours").expect("a file");
-        let mut second = Stage::new(&on_disk, 1_718_000_100_000.0);
-        second.run(10);
-        drop(second);
+        Stage::new(&on_disk, 1_718_000_100_000.0).run_to_disk(10);
         let paths: Vec<_> =
             names().into_iter().filter(|path| path.extension().is_some_and(|e| e == "jsonl")).collect();
         assert_eq!((paths.len(), names().len()), (3, 4), "what is not ours stays");
--- a/src/net/output.rs
+++ b/src/net/output.rs
@@ -74,7 +74,8 @@
     /// Hands over whole lines, or nothing where they have no room.
     pub fn offer(&self, bytes: impl Into<Bytes>) -> bool {
         let bytes = bytes.into();
-        let Ok(size) = u32::try_from(bytes.len()) else { return false };
+        // Nothing counts as one byte, so that not even that can pile up.
+        let Ok(size) = u32::try_from(bytes.len().max(1)) else { return false };
         match self.budget.clone().try_acquire_many_owned(size) {
             Ok(permit) => self.jobs.send(Job::Write(bytes, permit)).is_ok(),
             Err(_) => false,
@@ -111,5 +112,6 @@
         assert!(output.flush(Duration::from_secs(30)));
         assert_eq!(written.try_iter().collect::<Vec<_>>(), [&b"123456"[..], b"7890", b"abcd"]);
         assert!(large.offer("1234567890"), "all of it is free again");
+        assert!((0..9).filter(|_| small.offer("")).count() == 4, "nothing takes room, too");
     }
 }
