--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -105,7 +105,7 @@
     while sum(&told) < 38 || told.gauges.get("harelock.in_flight#class:log") != Some(&0) {
         hear(&mut told);
     }
-    // The last ones are told at the end, whenever the next flush would have been.
+    // What comes last is told, too.
     assert_eq!(client.ask("fetch").status(), 200);
     sidecar.signal("-TERM");
     assert!(sidecar.wait_exit().success());
@@ -146,11 +146,12 @@
     let upstream = Upstream::new(|_| Deed::ok("served"));
     let path = file("");
     let operator = format!(
-        r#"{{"figures":{{"format":"influx","stderr":false,"flush_ms":20,"file":"{}"}}}}"#,
+        r#"{{"figures":{{"format":"influx","stderr":false,"flush_ms":600000,"file":"{}"}}}}"#,
         path.display()
     );
     let (mut sidecar, _discovery) = Sidecar::with_operator(&[&upstream], &operator);
     assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200);
+    // The next flush would be long in coming: only that at the end can bring these.
     sidecar.signal("-TERM");
     assert!(sidecar.wait_exit().success());
     let text = std::fs::read_to_string(&path).unwrap();
