--- a/src/net/capture/replay.rs
+++ b/src/net/capture/replay.rs
@@ -314,6 +314,7 @@
                 line.starts_with("id=id-") && line.contains("captured=\"") && line.contains("replayed=\"")
             };
             assert!(lines.iter().all(whole), "{lines:?}");
+            assert!(!lines.iter().any(|line| line.contains('#')), "all hosts have names: {lines:?}");
             assert!(
                 lines.iter().any(|line| line.contains("probe ") && line.contains("replayed=\"nothing\""))
             );
--- a/tests/figures.rs
+++ b/tests/figures.rs
@@ -175,6 +175,12 @@
     for _ in 0..3_000 {
         assert_eq!(client.ask("fetch").status(), 200);
     }
+    // What ends badly is logged, and the log waits no more than the figures.
+    for _ in 0..5 {
+        client.send("bill", 1);
+        assert!(matches!(client.read().expect("an answer").status(), 502 | 503));
+    }
+    assert_eq!(client.ask("fetch").status(), 200);
     let (told, heard) = mpsc::channel();
     std::thread::spawn(move || {
         for line in log.lines().map_while(Result::ok) {
