--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -331,12 +331,12 @@
 
     /// Looks the collector up until it is found, and again when it no longer takes anything: it may have moved.
     async fn keep_up(&self) {
-        loop {
+        for round in 0.. {
             let by_address = self.to.address().is_some() && self.socket().is_some();
             if !by_address && !self.works.load(Ordering::Relaxed) {
                 let found = timeout(LOOK_UP, tokio::net::lookup_host((self.to.host.as_str(), self.to.port)));
-                let mut addresses = found.await.into_iter().flatten().flatten();
-                if let Some(socket) = addresses.find_map(|address| connect(address).ok()) {
+                let found: Vec<SocketAddr> = found.await.into_iter().flatten().flatten().collect();
+                if let Some(socket) = in_turn(found, round).find_map(|address| connect(address).ok()) {
                     self.works.store(true, Ordering::Relaxed);
                     *self.socket() = Some(socket);
                 }
@@ -387,6 +387,15 @@
     bytes.iter().filter(|byte| **byte == b'\n').count() as u64
 }
 
+/// The addresses of a name, each round beginning with the next: where one is dead another may listen. Those of
+/// IPv4 come first, since a name for this machine has both and collectors often listen on that alone.
+fn in_turn(mut addresses: Vec<SocketAddr>, round: usize) -> impl Iterator<Item = SocketAddr> {
+    addresses.sort_by_key(SocketAddr::is_ipv6);
+    let count = addresses.len();
+    addresses.rotate_left(if count > 0 { round % count } else { 0 });
+    addresses.into_iter()
+}
+
 /// A socket that sends to one address and never blocks.
 fn connect(to: SocketAddr) -> std::io::Result<Datagrams> {
     let from: SocketAddr = match to {
@@ -554,6 +563,37 @@
         assert_eq!(buffer.take(), (b"34\n".to_vec(), 1));
     }
 
+    #[test]
+    fn a_collector_is_looked_up_by_name_and_its_addresses_take_turns() {
+        let Collector { port, .. } = listen("127.0.0.1:0");
+        let udp = Some(Collector { host: "localhost".to_owned(), port });
+        let figures = start(Settings { udp, ..Settings::default() });
+        figures.flush(7);
+        assert_eq!(figures.dropped[UDP].load(Ordering::Relaxed), 3, "not looked up yet");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        let udp = figures.udp.as_ref().expect("a collector");
+        runtime.block_on(async {
+            let found = async {
+                while udp.socket().is_none() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            };
+            tokio::select! {
+                () = udp.keep_up() => {}
+                () = found => {}
+            }
+        });
+        assert_eq!(lines(&figures).iter().filter(|line| line.contains("in_flight:0|g")).count(), 3);
+        let [four, six, other] = ["10.0.0.1:1", "[::1]:1", "10.0.0.2:1"]
+            .map(|text| text.parse::<SocketAddr>().expect("an address"));
+        let order = |round| in_turn(vec![six, four, other], round).collect::<Vec<_>>();
+        assert_eq!(
+            [order(0), order(1), order(5)],
+            [[four, other, six], [other, six, four], [six, four, other]]
+        );
+        assert_eq!(in_turn(Vec::new(), 3).count(), 0);
+    }
+
     #[test]
     fn datagrams_hold_whole_lines() {
         let text: String = (0..500).map(|n| format!("line {n}{}\n", "x".repeat(n % 90))).collect();
