--- a/src/main.rs
+++ b/src/main.rs
@@ -112,7 +112,7 @@
     end
 }
 
-async fn sidecar(config: Config, operator: Operator) -> Result<()> {
+async fn sidecar(config: Config, mut operator: Operator) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
@@ -121,7 +121,7 @@
     log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
     let tls = match &operator.tls {
-        Some(settings) if settings.port.is_some() => Some(tls_door(settings, address)?),
+        Some(settings) if settings.port.is_some() => Some(operator.blame(tls_door(settings, address))?),
         _ => None,
     };
     log::line(format!("listening on {address}"));
@@ -130,21 +130,22 @@
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
-    let figures = match operator.figures {
+    let figures = match operator.figures.take() {
         Some(settings) => {
             let every = Duration::from_millis(settings.flush_ms as u64);
-            let figures = Figures::start(settings, config.settings.class_names())?;
+            let figures = operator.blame(Figures::start(settings, config.settings.class_names()))?;
             tokio::spawn(figures.clone().run(every));
             Some(figures)
         }
         None => None,
     };
-    let lists = operator.address_lists.map(AddressLists::new);
+    let lists = operator.address_lists.take().map(AddressLists::new);
     let front = Arc::new(Front::new(names, phases, happenings.clone(), lists, figures.clone()));
     let (clients, upstreams) = (config.limits.clients(), config.limits.upstreams());
     let capture = operator.capture.as_ref();
     let driver =
-        Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams, capture)?;
+        Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams, capture);
+    let driver = operator.blame(driver)?;
     let mut driver = tokio::spawn(driver.run(config.known));
     let doors = Doors { plain: listener, tls };
     let serving = tokio::spawn(client::serve(doors, front, clients));
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -13,6 +13,9 @@
 #[derive(Deserialize, Default, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
+    /// Where the settings come from.
+    #[serde(skip)]
+    file: PathBuf,
     /// Who may connect, and whose word on the client's address is taken.
     pub address_lists: Option<AddressLists>,
     /// Figures for a collector.
@@ -186,7 +189,14 @@
         let Some(path) = path else { return Ok(Operator::default()) };
         let shown = path.display();
         let text = std::fs::read(path).with_context(|| format!("cannot read the operators' file {shown}"))?;
-        Operator::parse(&text).with_context(|| format!("bad operators' file {shown}"))
+        let operator = Operator { file: path.to_owned(), ..Operator::default() };
+        let parsed = operator.blame(Operator::parse(&text))?;
+        Ok(Operator { file: operator.file, ..parsed })
+    }
+
+    /// Names the file in the error of a feature that cannot start by its settings.
+    pub fn blame<T>(&self, started: Result<T>) -> Result<T> {
+        started.with_context(|| format!("bad operators' file {}", self.file.display()))
     }
 
     /// Reads and checks the text of such a file. An error names the key.
--- a/tests/tls.rs
+++ b/tests/tls.rs
@@ -347,7 +347,7 @@
         let output = spawn_operated(&text, &format!("{{{section}}}")).wait_with_output().unwrap();
         let error = String::from_utf8(output.stderr).unwrap();
         assert_eq!((output.status.code(), error.lines().count()), (Some(1), 1), "{error}");
-        assert!(error.contains(part), "{error}");
+        assert!(error.contains(part) && error.contains("bad operators' file /"), "{error}");
     }
     // Without a port it is off.
     let upstream = Upstream::new(|_| Deed::ok("served"));
