Draw from sets that events keep, so that a pick costs the same whatever the fleet

Two random choices are meant to cost the same.

Change: servers stand in sets by zone and state (warm, cold, due for a trial, ejected), by zone and by cell, kept by events and drawn from by index; what time alone changes waits in an order of due times; the sum of failure rates is kept in whole numbers, which cannot drift. Room is tested on the pair, with at most four draws. Discovery's lists cost their own length.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
+use crate::fleet::{Fleet, From, Pool};
 use crate::state::*;
 
 /// A report older than this is renewed when its server is drawn: about one service time.
@@ -47,6 +48,10 @@
 const EVEN: f64 = 0.5;
 /// A server this little used, with one request more, counts as idle.
 const IDLE: f64 = 0.5;
+/// Pairs drawn for a request at the most: each costs the same, and past a few the fleet as a whole is full.
+const PAIRS: usize = 4;
+/// What late answers taught of room fades over this time.
+const ROOM_FORGETS: Millis = 5_000.0;
 /// Further attempts, as a share of first ones, and how many may be saved up.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
@@ -78,7 +83,7 @@
     rng: Rand64,
     now: Millis,
     requests: BTreeMap<RequestId, Held>,
-    upstreams: BTreeMap<UpstreamId, Upstream>,
+    fleet: Fleet,
     seen: Learnt,
 }
 
@@ -93,7 +98,7 @@
             rng: Rand64::new(u128::from(seed)),
             now: 0.0,
             requests: BTreeMap::new(),
-            upstreams: BTreeMap::new(),
+            fleet: Fleet::default(),
             seen,
         }
     }
@@ -101,7 +106,7 @@
     /// Goes on from a checkpoint, which holds all but the settings; `None` where they do not fit each other.
     pub fn resume(self, settings: Settings) -> Option<Balancer> {
         let (classes, tenants) = (self.seen.service.len(), self.seen.tenant_shares.len());
-        let out = self.upstreams.values().flat_map(|upstream| &upstream.outstanding).map(|out| out.class);
+        let out = self.fleet.all().flat_map(|upstream| &upstream.outstanding).map(|out| out.class);
         let known = self.requests.values().map(|held| held.class).chain(out).all(|class| class.0 < classes);
         let fits = known && classes == settings.classes.len() && tenants == settings.tenants.len();
         fits.then_some(Balancer { settings, ..self })
@@ -110,6 +115,7 @@
     /// Takes in one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.fleet.pass_time(self.now, &self.settings.safety);
         match event {
             Event::Arrived { request, class, tenant, time_left } => {
                 self.arrived(request, Held::new(class, tenant, self.now, time_left.max(0.0)), out)
@@ -146,71 +152,127 @@
     /// Sends a request to the best place there is, or ends it.
     fn place(&mut self, request: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&request).cloned() else { return };
-        let candidates = self.survey(&held);
-        let chosen = self.draw(&candidates, &held, out);
-        let refused = f64::from(u8::from(chosen.is_none()));
+        let to = self.choose(request, &held, out);
+        let refused = f64::from(u8::from(to.is_none()));
         self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
         let class = &mut self.seen.service[held.class.0];
         class.refused += SMOOTH_ALL * (refused - class.refused);
-        let mut to = chosen.and_then(|pair| self.better(pair));
-        if chosen.is_some() && to.is_none() {
-            // What a cold pair must not be sent yet goes to warm servers: the client would only ask again.
-            let warm: Vec<Candidate> = candidates.iter().filter(|c| c.warmth >= 1.0).copied().collect();
-            to = self.draw(&warm, &held, out).and_then(|pair| self.better(pair));
-        }
         match to {
-            Some(to) => self.send(request, to, candidates.len() > 1, out),
-            None => {
-                self.explain(request, &held, &candidates, out);
-                self.give_up(request, out);
-            }
+            Some(to) => self.send(request, to, self.fleet.serving() > 1, out),
+            None => self.give_up(request, out),
         }
     }
 
-    /// The one of a pair with the smaller projected utilisation, of those that may be sent one more.
-    fn better(&mut self, [a, b]: [Candidate; 2]) -> Option<Candidate> {
-        let by_use = if b.projected < a.projected { [b, a] } else { [a, b] };
-        by_use.into_iter().find(|c| self.admits(c))
+    /// Draws pairs until one has a member with room; it goes to the one with the smaller projected utilisation.
+    fn choose(&mut self, request: RequestId, held: &Held, out: &mut Vec<Action>) -> Option<Candidate> {
+        let (within, rounds) = self.reach(held)?;
+        let spared = self.fleet.count(&[Pool::Warm, Pool::Cold]) > held.tries.len();
+        let aim_left = self.aim_left(held);
+        let room = self.room(held) * aim_left;
+        // With roughly exponential answer times one expected at `wait` misses its aim with probability
+        // exp(-aim/wait): while that is below the fee, crossing does not pay.
+        let fee = self.settings.crossing_fee;
+        let near_room = if fee > 0.0 { room.min(aim_left / (1.0 / fee).ln().max(1.0)) } else { 0.0 };
+        let (mut last, mut cold_drawn) = (None, false);
+        for round in 0..rounds {
+            let from = match within {
+                From::Ready if round == 0 && near_room > 0.0 => From::Near,
+                // What a cold pair must not be sent yet goes to warm servers: the client would only ask again.
+                From::Ready if cold_drawn => From::Warm,
+                within => within,
+            };
+            let rng = &mut self.rng;
+            let Some(ids) = self.fleet.pair(from, |count| rng.rand_range(0..count)) else { continue };
+            let pair = ids.map(|id| self.look(id, held));
+            last = Some(pair);
+            let room = if from == From::Near { near_room } else { room };
+            let by_use = if pair[1].projected < pair[0].projected { [pair[1], pair[0]] } else { pair };
+            for to in by_use {
+                // One that has just failed this request is the likeliest to fail it again.
+                let failed = spared && held.tries.iter().any(|t| t.upstream == to.id);
+                let waits = to.pool == Pool::Waiting && from != From::Everyone;
+                // An idle server always has room: else a service time learnt in a jam would lock everyone out.
+                if failed || waits || !(to.idle || to.wait <= room) {
+                    continue;
+                }
+                cold_drawn |= to.pool == Pool::Cold;
+                if to.pool != Pool::Cold || self.admits_cold(to) {
+                    ids.into_iter().for_each(|id| self.probe(id, out));
+                    return Some(to);
+                }
+            }
+        }
+        // A pair is asked all the same: else none would ever be seen to have room again.
+        last.iter().flatten().for_each(|drawn| self.probe(drawn.id, out));
+        self.explain(request, held, last, out);
+        None
+    }
+
+    /// Whom a request may go to, by what may have run already, and how many pairs are drawn at the most.
+    fn reach(&self, held: &Held) -> Option<(From, usize)> {
+        // Everyone looks bad: rather ask someone than no one.
+        let healthy = self.fleet.count(&[Pool::Warm, Pool::Cold]) > 0;
+        let anyone = Some((if healthy { From::Ready } else { From::Everyone }, PAIRS));
+        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return anyone };
+        match self.settings.classes[held.class.0].effect {
+            Effect::Repeatable => anyone,
+            Effect::Once => None,
+            // The window counts from the first send that may have run; a tick is kept in hand.
+            Effect::ByKey { window, .. } if self.now + self.settings.limits.tick >= first.sent + window => {
+                None
+            }
+            Effect::ByKey { scope: Scope::All, .. } => anyone,
+            Effect::ByKey { scope: Scope::Zone, .. } => Some((From::Zone(first.zone), PAIRS)),
+            Effect::ByKey { scope: Scope::Cell, .. } => Some((From::Cell(first.cell), PAIRS)),
+        }
     }
 
     /// Tells at most once a second on what grounds a request found no server.
-    fn explain(&mut self, request: RequestId, held: &Held, candidates: &[Candidate], out: &mut Vec<Action>) {
+    fn explain(
+        &mut self,
+        request: RequestId,
+        held: &Held,
+        last: Option<[Candidate; 2]>,
+        out: &mut Vec<Action>,
+    ) {
         if self.now < self.seen.explained_at + EXPLAIN_EVERY {
             return;
         }
         self.seen.explained_at = self.now;
-        let count = |which: fn(&Candidate) -> bool| candidates.iter().filter(|c| which(c)).count();
-        let least = |of: fn(&Candidate) -> f64| candidates.iter().map(of).fold(f64::INFINITY, f64::min);
         let seen = &self.seen;
+        let drawn = last.map_or("none".to_owned(), |pair| {
+            let told = |c: Candidate| {
+                format!("{} {:?} wait={:.0} depth={:.2}", c.id.0, c.pool, c.wait, c.depth).to_lowercase()
+            };
+            format!("[{}, {}]", told(pair[0]), told(pair[1]))
+        });
+        let [warm, cold, trial, waiting] =
+            [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].map(|pool| self.fleet.count(&[pool]));
         let text = format!(
-            "request {} has no place: aim_left={:.0} room={:.0} tries={} servers={} healthy={} \
-             idle={} least wait={:.0} depth={:.2}; service={:.0} room_scale={:.2} refused={:.2} \
-             pace={:.2} kappa={:.2}",
+            "request {} has no place: aim_left={:.0} room={:.0} tries={} warm={warm} cold={cold} trial={trial} \
+             ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} pace={:.2} kappa={:.2} \
+             others={:.1}",
             request.0,
             self.aim_left(held),
             self.room(held) * self.aim_left(held),
             held.tries.len(),
-            candidates.len(),
-            count(|c| c.healthy),
-            count(|c| c.idle),
-            least(|c| c.wait),
-            least(|c| c.depth),
             seen.service[held.class.0].time,
-            seen.room_scale,
+            self.room_scale(),
             seen.refused,
             seen.fleet.pace,
             seen.fleet.in_flight / seen.fleet.utilisation,
+            seen.others,
         );
         out.push(Action::Log { about: Some(request), text });
     }
 
-    /// Whether a server may be sent one more while it is cold. An equal part of its budget is less than one
+    /// Whether a cold server that was drawn may be sent one more. An equal part of its budget is less than one
     /// request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
     /// requests, and chance leaves it of those what its budget allows, for all sidecars together.
-    fn admits(&mut self, to: &Candidate) -> bool {
-        let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0 * to.odds;
+    fn admits_cold(&mut self, to: Candidate) -> bool {
+        let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0;
         // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
-        to.warmth >= 1.0 || self.rng.rand_float() < share * (1.0 - self.seen.refused)
+        self.rng.rand_float() < share * (1.0 - self.seen.refused)
     }
 
     /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
@@ -220,7 +282,12 @@
         let worth = (density / self.seen.usual_density.unwrap_or(density)).powf(FAVOUR).clamp(0.5, 1.5);
         // By worth alone one class would bear all refusals.
         let even = (1.0 + EVEN * (self.seen.service[held.class.0].refused - self.seen.refused)).max(0.5);
-        self.seen.room_scale * ROOM * worth * even
+        self.room_scale() * ROOM * worth * even
+    }
+
+    /// What was learnt of late answers fades: after a jam hardly any answers come to unlearn it by.
+    fn room_scale(&self) -> f64 {
+        1.0 - (1.0 - self.seen.room_scale) * (-(self.now - self.seen.room_at) / ROOM_FORGETS).exp()
     }
 
     /// What a request earns for its service time. No sidecar can know which tenants are over their share;
@@ -256,53 +323,24 @@
         }
     }
 
-    // --- The survey of servers ---------------------------------------------------------------
-
-    /// The servers a request may go to now, each with its projected utilisation and expected answer time.
-    fn survey(&self, held: &Held) -> Vec<Candidate> {
-        let service = self.seen.service[held.class.0].time;
-        let means = Means::of(self.upstreams.values(), self.now - STALE);
-        let mut candidates = Vec::with_capacity(self.upstreams.len());
-        for (&id, upstream) in &self.upstreams {
-            if !upstream.serving || !self.may_reach(held, upstream) {
-                continue;
-            }
-            let (in_flight, kappa) = (self.in_flight(upstream, &means), self.kappa(upstream));
-            let warmth = upstream.warmth(self.now, &self.settings.safety);
-            let slowness = self.slowness(upstream) / warmth;
-            let depth = ((in_flight + 1.0) / kappa).max(1.0);
-            candidates.push(Candidate {
-                id,
-                near: upstream.zone == self.settings.zone,
-                // One that has just failed this request is the likeliest to fail it again.
-                healthy: self.takes_part(upstream) && held.tries.iter().all(|t| t.upstream != id),
-                projected: (in_flight + 1.0) / kappa * slowness,
-                depth,
-                // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
-                idle: in_flight + 1.0 <= (IDLE * kappa).max(1.5),
-                wait: service * slowness * depth,
-                warmth,
-                odds: 1.0,
-            });
-        }
-        candidates
-    }
-
-    /// Whether a further send may go to a server, by what may have run already.
-    fn may_reach(&self, held: &Held, upstream: &Upstream) -> bool {
-        let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return true };
-        match self.settings.classes[held.class.0].effect {
-            Effect::Repeatable => true,
-            Effect::Once => false,
-            // The window counts from the first send that may have run; a tick is kept in hand.
-            Effect::ByKey { scope, window } => {
-                let in_scope = match scope {
-                    Scope::All => true,
-                    Scope::Zone => upstream.zone == first.zone,
-                    Scope::Cell => upstream.cell == first.cell,
-                };
-                in_scope && self.now + self.settings.limits.tick < first.sent + window
-            }
+    // --- A server as it looks now ------------------------------------------------------------
+
+    /// A server's projected utilisation and expected answer time for this request.
+    fn look(&self, id: UpstreamId, held: &Held) -> Candidate {
+        let Some(server) = self.fleet.get(id) else { return Candidate::nowhere(id) };
+        let (in_flight, kappa) = (self.in_flight(server), self.kappa(server));
+        let warmth = server.warmth(self.now, &self.settings.safety);
+        let slowness = self.slowness(server) / warmth;
+        let depth = ((in_flight + 1.0) / kappa).max(1.0);
+        Candidate {
+            id,
+            pool: server.pooled.map_or(Pool::Waiting, |(_, pool)| pool),
+            warmth,
+            projected: (in_flight + 1.0) / kappa * slowness,
+            depth,
+            // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
+            idle: in_flight + 1.0 <= (IDLE * kappa).max(1.5),
+            wait: self.seen.service[held.class.0].time * slowness * depth,
         }
     }
 
@@ -318,9 +356,9 @@
 
     /// m: what others have there by its reports, and our own sends, of which we know at once. An unheard
     /// server takes the mean of the known ones.
-    fn in_flight(&self, upstream: &Upstream, means: &Means) -> f64 {
+    fn in_flight(&self, upstream: &Upstream) -> f64 {
         let heard = self.now - upstream.reported_at <= STALE;
-        upstream.outstanding.len() as f64 + if heard { upstream.others } else { means.others }
+        upstream.outstanding.len() as f64 + if heard { upstream.others } else { self.seen.others }
     }
 
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
@@ -341,53 +379,8 @@
         pace + (upstream.slowness - pace) * (-(self.now - upstream.learnt_at) / FORGET).exp()
     }
 
-    fn takes_part(&self, upstream: &Upstream) -> bool {
-        match upstream.health {
-            Health::Ready => true,
-            // Half-open after a while: one trial at a time.
-            Health::Ejected { until, .. } => self.now >= until && upstream.outstanding.is_empty(),
-        }
-    }
-
-    // --- The draw ----------------------------------------------------------------------------
-
-    /// Two random servers among those with room, near ones first; the smaller projected utilisation wins.
-    fn draw(&mut self, all: &[Candidate], held: &Held, out: &mut Vec<Action>) -> Option<[Candidate; 2]> {
-        let aim_left = self.aim_left(held);
-        let room = self.room(held) * aim_left;
-        let mut open: Vec<Candidate> = all.iter().filter(|c| c.healthy).copied().collect();
-        if open.is_empty() {
-            // Everyone looks bad: rather ask someone than no one.
-            open = all.to_vec();
-        }
-        // An idle server always has room: else a service time learnt in a jam would lock everyone out.
-        open.retain(|c| c.idle || c.wait <= room);
-        // With roughly exponential answer times one expected at `wait` misses its aim with probability
-        // exp(-aim/wait): while that is below the fee, crossing does not pay.
-        let fee = self.settings.crossing_fee;
-        let near_limit = if fee > 0.0 { aim_left / (1.0 / fee).ln().max(1.0) } else { 0.0 };
-        let near = |c: &Candidate| c.near && c.wait <= near_limit;
-        if open.iter().any(near) {
-            open.retain(near);
-        }
-        let odds = open.len() as f64 / all.len() as f64;
-        open.iter_mut().for_each(|c| c.odds = odds);
-        // Where none has room a pair is asked all the same: else none would ever be seen to have it again.
-        let pair = self.pair(&open);
-        pair.or_else(|| self.pair(all)).iter().flatten().for_each(|drawn| self.probe(drawn.id, out));
-        pair
-    }
-
-    /// A random pair of distinct members; the one there is, twice, where there is only one.
-    fn pair(&mut self, open: &[Candidate]) -> Option<[Candidate; 2]> {
-        let count = (open.len() as u64).checked_sub(1)? + 1;
-        let first = self.rng.rand_range(0..count);
-        let step = if count > 1 { self.rng.rand_range(1..count) } else { 0 };
-        Some([first, (first + step) % count].map(|at| open[at as usize]))
-    }
-
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(upstream) = self.fleet.get_mut(id) else { return };
         let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
         if self.settings.limits.probes && !waiting && self.now - upstream.reported_at > FRESH {
             upstream.probe_sent = Some(self.now);
@@ -400,12 +393,13 @@
         let timeout = self.timeout(held, to, others);
         let (class, attempt) = (held.class, AttemptNo(held.tries.len() as u32));
         let sent = self.now;
-        let Some(upstream) = self.upstreams.get_mut(&to.id) else { return };
+        let Some(upstream) = self.fleet.get_mut(to.id) else { return };
         upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
         let this = Try::new(to.id, upstream, sent);
         if let Some(held) = self.requests.get_mut(&request) {
             held.tries.push(this);
         }
+        self.fleet.settle(to.id, self.now, &self.settings.safety);
         out.push(Action::Send { request, upstream: to.id, timeout });
     }
 
@@ -431,7 +425,10 @@
         let full = outcome == Outcome::Full;
         let late = full || self.now > held.arrived + self.settings.classes[held.class.0].aim;
         let step = if full { SMOOTH } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
-        self.seen.room_scale = (self.seen.room_scale * (1.0 + step)).clamp(0.25, 1.0);
+        self.seen.room_scale = (self.room_scale() * (1.0 + step)).clamp(0.25, 1.0);
+        self.seen.room_at = self.now;
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        let Some(this) = held.tries.get_mut(end.attempt.0 as usize) else { return };
         this.may_have_run = outcome.may_have_run();
         if end.closed || outcome == Outcome::Ok {
             return self.abandoned(request, out);
@@ -459,9 +456,11 @@
     /// Learns from an attempt's end, whether or not its request is still held.
     fn settle(&mut self, end: Finished, out: &mut Vec<Action>) {
         let Finished { upstream: id, outcome, latency, .. } = end;
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(upstream) = self.fleet.get_mut(id) else { return };
         let Some(sent) = upstream.take(end.request, end.attempt) else { return };
         let silent = upstream.answered_at <= sent.sent;
+        self.fleet.settle(id, self.now, &self.settings.safety);
+        self.fleet.forget(id);
         if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
@@ -482,9 +481,9 @@
     /// tells that the server is at least this slow.
     fn learn(&mut self, id: UpstreamId, sent: Outstanding, latency: Millis, answered: bool) {
         // What a cold server takes longer is no sign of crowding, nor of the speed it will have.
-        let Some(server) = self.upstreams.get(&id).filter(|_| latency > 0.0) else { return };
+        let Some(server) = self.fleet.get(id).filter(|_| latency > 0.0) else { return };
         let (known, warmth) = (self.remembered(server), server.warmth(self.now, &self.settings.safety));
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(upstream) = self.fleet.get_mut(id) else { return };
         let alone = latency * warmth / sent.to.depth;
         let service = &mut self.seen.service[sent.class.0];
         let pace = alone / service.time;
@@ -502,7 +501,7 @@
     }
 
     fn probed(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(upstream) = self.fleet.get_mut(id) else { return };
         upstream.probe_sent = None;
         if let (Some(report), true) = (report, answered) {
             self.take_report(id, report);
@@ -511,7 +510,7 @@
 
     /// Takes in a server's own figures.
     fn take_report(&mut self, id: UpstreamId, report: Report) {
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
+        let Some(upstream) = self.fleet.get_mut(id) else { return };
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
         // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
         let since = self.now - upstream.reported_at;
@@ -519,6 +518,7 @@
         let others = (in_flight - upstream.outstanding.len() as f64).max(0.0);
         upstream.others += (1.0 - (-since / OTHERS_OVER).exp()) * (others - upstream.others);
         upstream.reported_at = self.now;
+        self.seen.others += SMOOTH_ALL * (upstream.others - self.seen.others);
         upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
         let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
@@ -539,17 +539,16 @@
 
     /// Counts an outcome for or against a server: outlier ejection with half-open trials.
     fn judge(&mut self, id: UpstreamId, failed: bool, out: &mut Vec<Action>) {
-        let serving: Vec<&Upstream> = self.upstreams.values().filter(|u| u.serving).collect();
-        let count = serving.len() as f64;
-        let bar = EJECT_ABOVE + serving.iter().map(|u| u.failure_rate).sum::<f64>() / count.max(1.0);
-        let ejected = serving.iter().filter(|u| u.health != Health::Ready).count() as f64;
+        let count = self.fleet.serving() as f64;
+        let bar = EJECT_ABOVE + self.fleet.mean_failure_rate();
+        let ejected = self.fleet.count(&[Pool::Trial, Pool::Waiting]) as f64;
         let may_eject = count > 1.0 && ejected + 1.0 <= (EJECT_SHARE * count).max(1.0);
         let (now, spread) = (self.now, 0.75 + 0.5 * self.rng.rand_float());
-        let Some(upstream) = self.upstreams.get_mut(&id) else { return };
-        upstream.failure_rate += SMOOTH * (f64::from(u8::from(failed)) - upstream.failure_rate);
+        let rate = self.fleet.count_failure(id, failed, SMOOTH);
+        let Some(upstream) = self.fleet.get_mut(id) else { return };
         let eject = |wait: Millis| Health::Ejected { until: now + wait * spread, wait };
         match upstream.health {
-            Health::Ready if failed && may_eject && upstream.failure_rate > bar => {
+            Health::Ready if failed && may_eject && rate > bar => {
                 upstream.health = eject(EJECT_FOR[0]);
                 out.push(Action::Log { about: None, text: format!("server {} ejected for failures", id.0) });
             }
@@ -557,12 +556,13 @@
                 upstream.health = eject((wait * 2.0).min(EJECT_FOR[1]));
             }
             // Only a trial brings it back: answers to what was sent before it was ejected still come in.
-            Health::Ejected { until, .. } if !failed && now >= until && upstream.failure_rate < bar => {
+            Health::Ejected { until, .. } if !failed && now >= until && rate < bar => {
                 upstream.health = Health::Ready;
                 out.push(Action::Log { about: None, text: format!("server {} is back after trials", id.0) });
             }
             Health::Ready | Health::Ejected { .. } => {}
         }
+        self.fleet.settle(id, now, &self.settings.safety);
     }
 
     // --- The server list ---------------------------------------------------------------------
@@ -570,19 +570,17 @@
     fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
         let failed = news == ListNews::Unavailable;
         let must_ask = failed || matches!(news, ListNews::Restored(_));
-        if matches!(news, ListNews::Restored(_) | ListNews::Complete(_)) {
-            // Who is missing from a complete list is gone.
-            self.upstreams.values_mut().for_each(|upstream| upstream.serving = false);
-        }
         match news {
-            ListNews::Restored(list) | ListNews::Complete(list) | ListNews::Changed(list) => {
+            ListNews::Restored(list) | ListNews::Complete(list) => {
+                // Who is missing from a complete list is gone.
+                self.fleet.keep_only(&list);
                 list.iter().for_each(|entry| self.update(entry));
             }
+            ListNews::Changed(list) => list.iter().for_each(|entry| self.update(entry)),
             ListNews::Unavailable => {
                 out.push(Action::Log { about: None, text: "server list unavailable".to_owned() });
             }
         }
-        self.upstreams.retain(|_, upstream| upstream.serving || !upstream.outstanding.is_empty());
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
         self.seen.ask_wait =
             if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
@@ -594,6 +592,6 @@
     }
 
     fn update(&mut self, entry: &Listing) {
-        self.upstreams.entry(entry.upstream).or_insert_with(|| Upstream::new(entry)).relist(entry);
+        self.fleet.update(entry, self.settings.zone, self.now, &self.settings.safety);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod brain;
 mod exact;
+mod fleet;
 pub mod settings;
 mod state;
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
+use crate::fleet::Pool;
 
 /// A time that lies before all others, but is finite: a checkpoint keeps times as numbers.
 const NEVER: Millis = f64::MIN;
@@ -58,7 +59,7 @@
 /// What is known of one class, times from answers that met no queue.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Service {
-    /// Running median.
+    /// Running median of its time at a mean server, without the network.
     pub time: Millis,
     pub samples: f64,
     /// Share of its arrivals that was refused.
@@ -81,7 +82,7 @@
 /// What is known of one kind of machine, or of all of them.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Kind {
-    /// Running means of what its servers report; their ratio is κ.
+    /// Running means of what its servers report, by unit of listed weight; their ratio is κ.
     pub in_flight: f64,
     pub utilisation: f64,
     pub reports: f64,
@@ -120,11 +121,14 @@
     /// By kind of machine, and of all together.
     pub kinds: BTreeMap<KindId, Kind>,
     pub fleet: Kind,
+    /// Running mean of what others have in flight at a server; stands in where a server was not heard of.
+    pub others: f64,
     /// Share of the arrivals that no server had room for.
     pub refused: f64,
     pub retry_tokens: f64,
-    /// Room shrinks to this share of the usual while answers are late.
+    /// Room shrinks to this share of the usual while answers are late, and when it was last learnt.
     pub room_scale: f64,
+    pub room_at: Millis,
     /// Worth per service time of the mean arrival.
     pub usual_density: Option<f64>,
     /// Each tenant's share of our arrivals.
@@ -144,9 +148,11 @@
             service,
             kinds: BTreeMap::new(),
             fleet: Kind::default(),
+            others: 0.0,
             refused: 0.0,
             retry_tokens,
             room_scale: 1.0,
+            room_at: NEVER,
             usual_density: None,
             tenant_shares: vec![0.0; tenants],
             first_at: None,
@@ -171,6 +177,8 @@
     pub cell: CellId,
     pub kind: KindId,
     pub serving: bool,
+    /// Which of the fleet's sets it stands in: side and state.
+    pub pooled: Option<(usize, Pool)>,
     pub weight: f64,
     pub started: Option<Millis>,
     pub kappa: Option<f64>,
@@ -185,7 +193,8 @@
     pub slowness: f64,
     pub learnt_at: Millis,
     pub answered_at: Millis,
-    pub failure_rate: f64,
+    /// Failure rate, in millionths.
+    pub failures: u32,
     pub health: Health,
 }
 
@@ -193,11 +202,8 @@
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Candidate {
     pub id: UpstreamId,
-    pub near: bool,
-    pub healthy: bool,
+    pub pool: Pool,
     pub warmth: f64,
-    /// The share of all candidates that its pair was drawn from.
-    pub odds: f64,
     pub projected: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
@@ -205,9 +211,19 @@
     pub wait: Millis,
 }
 
-/// Means over the known servers, which stand in for what is not known of others.
-pub(crate) struct Means {
-    pub others: f64,
+impl Candidate {
+    /// A server that is not known any more.
+    pub fn nowhere(id: UpstreamId) -> Candidate {
+        Candidate {
+            id,
+            pool: Pool::Waiting,
+            warmth: 1.0,
+            projected: f64::MAX,
+            depth: 1.0,
+            idle: false,
+            wait: f64::MAX,
+        }
+    }
 }
 
 impl Upstream {
@@ -217,6 +233,7 @@
             cell: entry.cell,
             kind: entry.kind,
             serving: entry.lifecycle == Lifecycle::Serving,
+            pooled: None,
             weight: entry.weight,
             started: entry.started,
             kappa: None,
@@ -228,7 +245,7 @@
             slowness: 1.0,
             learnt_at: NEVER,
             answered_at: NEVER,
-            failure_rate: 0.0,
+            failures: 0,
             health: Health::Ready,
         }
     }
@@ -246,6 +263,19 @@
         self.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
     }
 
+    /// The state it is in, and when time alone will change that.
+    pub fn state(&self, now: Millis, safety: &Safety) -> (Pool, Option<Millis>) {
+        let warm_at = self.started.map(|started| started + safety.warm_up).filter(|at| now < *at);
+        match (self.health, warm_at) {
+            (Health::Ejected { until, .. }, _) if now < until => (Pool::Waiting, Some(until)),
+            // Half-open after a while: one trial at a time.
+            (Health::Ejected { .. }, _) if self.outstanding.is_empty() => (Pool::Trial, None),
+            (Health::Ejected { .. }, _) => (Pool::Waiting, None),
+            (Health::Ready, Some(at)) => (Pool::Cold, Some(at)),
+            (Health::Ready, None) => (Pool::Warm, None),
+        }
+    }
+
     /// The share of its capacity that a server surely has: a line from the cold share to all of it.
     pub fn warmth(&self, now: Millis, safety: &Safety) -> f64 {
         match self.started {
@@ -263,15 +293,3 @@
         Some(self.outstanding.remove(self.outstanding.iter().position(matching)?))
     }
 }
-
-impl Means {
-    /// Over the serving servers with reports since a given time.
-    pub fn of<'a>(upstreams: impl Iterator<Item = &'a Upstream>, heard_since: Millis) -> Means {
-        let (mut others, mut heard) = (0.0, 0.0);
-        for upstream in upstreams.filter(|u| u.serving && u.reported_at >= heard_since) {
-            others += upstream.others;
-            heard += 1.0;
-        }
-        Means { others: if heard > 0.0 { others / heard } else { 0.0 } }
-    }
-}
