Hold each server to a limit, size it by calm reports, and let refusals favour what earns most

A server now holds at most one more than it works on at once; the rest is refused at once and asked back. - Probes every 40 ms read reports that are renewed every 350 to 1,500 ms, and cost servers work.

--- a/src/api.rs
+++ b/src/api.rs
@@ -150,6 +150,8 @@
     pub limits: Limits,
     /// Rule figures.
     pub safety: Safety,
+    /// Whether listed weights are sizes: how many requests a server works on at once, give or take.
+    pub sizes_listed: bool,
     /// How news of servers arrives.
     pub discovery: Discovery,
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
 //! Every decision of the load balancer. The types it speaks in are in `src/api.rs`.
 //!
-//! Ordinary path: per request draw two ready servers at random and send to the one with the smaller projected
-//! utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send, outcome; then
-//! reports, health, cold starts, the list.
+//! Ordinary path: per request draw two ready servers at random and send to the one with the smaller
+//! projected utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send,
+//! outcome; then reports, health, cold starts, the list.
 
 use std::collections::BTreeMap;
 
@@ -13,19 +13,28 @@
 use crate::fleet::{Fleet, From, Pool};
 use crate::state::*;
 
-/// A report older than this is renewed when its server is drawn: about one service time.
-const FRESH: Millis = 40.0;
+/// A report older than this is renewed when its server is drawn: servers renew theirs no oftener.
+const FRESH: Millis = 300.0;
 /// A report older than this says nothing any more; the mean of the known servers stands in.
 const STALE: Millis = 1_000.0;
-/// What others have in flight at a server is averaged over about this time: a report is a second old when it
-/// comes, and every sidecar reads the same one, so that by single readings all crowd the same server at once.
+/// What others have in flight at a server is averaged over about this time: a report is a second old when
+/// it comes, and every sidecar reads the same one, so that by single readings all crowd the same server at
+/// once.
 const OTHERS_OVER: Millis = 3_000.0;
 /// In-flight is averaged over about this time, as servers average their utilisation.
 const MEANS_OVER: Millis = 700.0;
-/// From here on a server counts as saturated: in-flight / utilisation then only bounds κ from above.
+/// Reports tell κ while a server's utilisation, averaged over about this time, is below this.
+const CALM: f64 = 0.6;
+const CALM_OVER: Millis = 3_000.0;
+/// Where the list tells no sizes, busier reports count until so many calm ones are known: not saturated
+/// ones.
+const CALM_ENOUGH: f64 = 20.0;
 const SATURATED: f64 = 0.9;
-/// A rising κ is believed this much slower.
-const RISE: f64 = 0.1;
+/// Weight of a report in κ, which is a property of machines and does not change from one second to the
+/// next.
+const KAPPA_STEP: f64 = 0.005;
+/// How many reports a listed size counts for.
+const SIZE_PRIOR: f64 = 20.0;
 /// Below this reported utilisation in-flight / utilisation is mostly rounding.
 const UTILISATION_FLOOR: f64 = 0.1;
 /// Weight of a new sample in the slowness and the failure rate of one server.
@@ -42,16 +51,23 @@
 const ROOM: f64 = 0.6;
 /// Room shrinks while more of what was accepted is late than this: crowded servers slow down unforeseen.
 const LATE_TARGET: f64 = 0.15;
-/// How strongly room depends on what a request earns; 0 is not at all.
-const FAVOUR: f64 = 0.4;
+/// How strongly what a request may ask of servers depends on what it earns, where nearly all is refused;
+/// half as strongly where this share is.
+const FAVOUR: f64 = 0.8;
+const FAVOUR_HALF: f64 = 0.1;
+/// A send is accepted while the server holds no more than this multiple of what it works on at once: one
+/// more than it has cores. What waits at a server slows it down; what waits at a client does not.
+const QUEUE: f64 = 1.34;
 /// How strongly room makes up for a class that is refused more than the whole.
-const EVEN: f64 = 0.5;
+const EVEN: f64 = 1.0;
 /// A server this little used, with one request more, counts as idle.
 const IDLE: f64 = 0.5;
+/// And so does one that holds no more than this with it, whatever its size is taken for.
+const IDLE_LEAST: f64 = 2.0;
 /// Pairs drawn for a request at the most: each costs the same, and past a few the fleet as a whole is full.
 const PAIRS: usize = 4;
 /// What late answers taught of room fades over this time.
-const ROOM_FORGETS: Millis = 5_000.0;
+const ROOM_FORGETS: Millis = 20_000.0;
 /// Further attempts, as a share of first ones, and how many may be saved up.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
@@ -67,6 +83,11 @@
 const EJECT_SHARE: f64 = 0.4;
 /// First and longest time a server stays ejected before a trial.
 const EJECT_FOR: [Millis; 2] = [1_000.0, 8_000.0];
+/// By how much a server's limit is cut each time that it turns a request away, and how far at the most.
+const LIMIT_CUT: f64 = 0.75;
+const LIMIT_LEAST: f64 = 0.2;
+/// First and longest time for which a server that turned a request away is left alone.
+const SHUT_FOR: [Millis; 2] = [100.0, 1_600.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
 /// The grounds of a refusal are told this often at most.
@@ -103,7 +124,8 @@
         }
     }
 
-    /// Goes on from a checkpoint, which holds all but the settings; `None` where they do not fit each other.
+    /// Goes on from a checkpoint, which holds all but the settings; `None` where they do not fit each
+    /// other.
     pub fn resume(self, settings: Settings) -> Option<Balancer> {
         let (classes, tenants) = (self.seen.service.len(), self.seen.tenant_shares.len());
         let out = self.fleet.all().flat_map(|upstream| &upstream.outstanding).map(|out| out.class);
@@ -163,12 +185,14 @@
         }
     }
 
-    /// Draws pairs until one has a member with room; it goes to the one with the smaller projected utilisation.
+    /// Draws pairs until one has a member with room; it goes to the one with the smaller projected
+    /// utilisation.
     fn choose(&mut self, request: RequestId, held: &Held, out: &mut Vec<Action>) -> Option<Candidate> {
         let (within, rounds) = self.reach(held)?;
         let spared = self.fleet.count(&[Pool::Warm, Pool::Cold]) > held.tries.len();
         let aim_left = self.aim_left(held);
         let room = self.room(held) * aim_left;
+        let most = QUEUE * self.favour(held);
         // With roughly exponential answer times one expected at `wait` misses its aim with probability
         // exp(-aim/wait): while that is below the fee, crossing does not pay.
         let fee = self.settings.crossing_fee;
@@ -177,7 +201,8 @@
         for round in 0..rounds {
             let from = match within {
                 From::Ready if round == 0 && near_room > 0.0 => From::Near,
-                // What a cold pair must not be sent yet goes to warm servers: the client would only ask again.
+                // What a cold pair must not be sent yet goes to warm servers: the client would only ask
+                // again.
                 From::Ready if cold_drawn => From::Warm,
                 within => within,
             };
@@ -191,8 +216,13 @@
                 // One that has just failed this request is the likeliest to fail it again.
                 let failed = spared && held.tries.iter().any(|t| t.upstream == to.id);
                 let waits = to.pool == Pool::Waiting && from != From::Everyone;
-                // An idle server always has room: else a service time learnt in a jam would lock everyone out.
-                if failed || waits || !(to.idle || to.wait <= room) {
+                // An idle server always has room: else a service time learnt in a jam would lock everyone
+                // out.
+                if failed
+                    || waits
+                    || to.shut
+                    || !(to.idle || (to.wait <= room && to.depth <= most * to.limit))
+                {
                     continue;
                 }
                 cold_drawn |= to.pool == Pool::Cold;
@@ -249,9 +279,9 @@
         let [warm, cold, trial, waiting] =
             [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].map(|pool| self.fleet.count(&[pool]));
         let text = format!(
-            "request {} has no place: aim_left={:.0} room={:.0} tries={} warm={warm} cold={cold} trial={trial} \
-             ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} pace={:.2} kappa={:.2} \
-             others={:.1}",
+            "request {} has no place: aim_left={:.0} room={:.0} tries={} warm={warm} cold={cold} \
+             trial={trial} ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} \
+             pace={:.2} kappa={:.2} others={:.1}",
             request.0,
             self.aim_left(held),
             self.room(held) * self.aim_left(held),
@@ -260,29 +290,38 @@
             self.room_scale(),
             seen.refused,
             seen.fleet.pace,
-            seen.fleet.in_flight / seen.fleet.utilisation,
+            seen.fleet.kappa(),
             seen.others,
         );
         out.push(Action::Log { about: Some(request), text });
     }
 
-    /// Whether a cold server that was drawn may be sent one more. An equal part of its budget is less than one
-    /// request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
+    /// Whether a cold server that was drawn may be sent one more. An equal part of its budget is less than
+    /// one request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
     /// requests, and chance leaves it of those what its budget allows, for all sidecars together.
     fn admits_cold(&mut self, to: Candidate) -> bool {
         let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0;
-        // Where there is no room elsewhere, more requests come than servers can carry, and more to this one.
+        // Where there is no room elsewhere, more requests come than servers can carry, and more to this
+        // one.
         self.rng.rand_float() < share * (1.0 - self.seen.refused)
     }
 
     /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
-    /// to it, so work that earns less for its service time than the usual is the first to be refused.
+    /// to it.
     fn room(&self, held: &Held) -> f64 {
+        ROOM * self.favour(held)
+    }
+
+    /// How much more or less than the usual a request may ask of servers: work that earns less for its
+    /// service time is the first to be refused, the more so the more has to be, and less of all while
+    /// answers are late.
+    fn favour(&self, held: &Held) -> f64 {
         let density = self.density(held);
-        let worth = (density / self.seen.usual_density.unwrap_or(density)).powf(FAVOUR).clamp(0.5, 1.5);
+        let strength = FAVOUR * self.seen.refused / (self.seen.refused + FAVOUR_HALF);
+        let worth = (density / self.seen.usual_density.unwrap_or(density)).powf(strength).clamp(0.5, 1.5);
         // By worth alone one class would bear all refusals.
         let even = (1.0 + EVEN * (self.seen.service[held.class.0].refused - self.seen.refused)).max(0.5);
-        self.room_scale() * ROOM * worth * even
+        self.room_scale() * worth * even
     }
 
     /// What was learnt of late answers fades: after a jam hardly any answers come to unlearn it by.
@@ -338,20 +377,25 @@
             warmth,
             projected: (in_flight + 1.0) / kappa * slowness,
             depth,
+            shut: self.now < server.shut_until,
+            limit: if self.sized(server) { server.limit_at(self.now) } else { f64::MAX },
             // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
-            idle: in_flight + 1.0 <= (IDLE * kappa).max(1.5),
+            idle: in_flight + 1.0 <= (IDLE * kappa).max(IDLE_LEAST),
             wait: self.seen.service[held.class.0].time * slowness * depth,
         }
     }
 
-    /// κ: from the server's own reports, which fade into those of its kind: a small sidecar hears from one
-    /// server too seldom to know it. Before any report of the kind, its listed weight and the mean of all.
+    /// κ: how many requests a server works on at once. Its listed weight says how it compares with others
+    /// of its kind, and what reports below saturation say of the kind as a whole how large that is.
     fn kappa(&self, upstream: &Upstream) -> f64 {
-        let ratio = |kind: &Kind| (kind.reports > 0.0).then(|| kind.in_flight / kind.utilisation);
-        let listed = upstream.weight * ratio(&self.seen.fleet).unwrap_or(1.0);
-        let kind = self.seen.kinds.get(&upstream.kind).and_then(ratio).unwrap_or(listed);
-        let fade = (-(self.now - upstream.reported_at) / FORGET).exp();
-        (kind + (upstream.kappa.unwrap_or(kind) - kind) * fade).max(0.1)
+        let kind = self.seen.kinds.get(&upstream.kind).unwrap_or(&self.seen.fleet);
+        (upstream.weight * kind.kappa()).max(0.1)
+    }
+
+    /// Whether κ is known well enough to hold a server to it.
+    fn sized(&self, upstream: &Upstream) -> bool {
+        let calm = self.seen.kinds.get(&upstream.kind).map_or(0.0, |kind| kind.calm);
+        self.settings.sizes_listed || calm >= CALM_ENOUGH
     }
 
     /// m: what others have there by its reports, and our own sends, of which we know at once. An unheard
@@ -421,10 +465,9 @@
         let Some(held) = self.requests.get_mut(&request) else { return };
         let Some(this) = held.tries.get_mut(end.attempt.0 as usize).filter(|t| t.out) else { return };
         this.out = false;
-        // A jam once fed itself: answers that servers were full came soon, and made room as if in time.
         let full = outcome == Outcome::Full;
-        let late = full || self.now > held.arrived + self.settings.classes[held.class.0].aim;
-        let step = if full { SMOOTH } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
+        let late = self.now > held.arrived + self.settings.classes[held.class.0].aim;
+        let step = if full { 0.0 } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
         self.seen.room_scale = (self.room_scale() * (1.0 + step)).clamp(0.25, 1.0);
         self.seen.room_at = self.now;
         let Some(held) = self.requests.get_mut(&request) else { return };
@@ -467,6 +510,7 @@
         if let Some(report) = end.report {
             self.take_report(id, report);
         }
+        self.limit(id, sent, outcome, latency, out);
         let failed = match outcome {
             Outcome::Ok => false,
             Outcome::Error | Outcome::Unreachable | Outcome::Reset => true,
@@ -477,8 +521,38 @@
         self.judge(id, failed, out);
     }
 
-    /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-out
-    /// tells that the server is at least this slow.
+    /// A server that turned a request away takes less than its size tells: fewer are held there for a
+    /// while. One that does so at once is left alone as well, longer each time: it looks idle by its counts
+    /// and would win every draw. Neither is a failure of the server, nor tells it anything of the others.
+    fn limit(
+        &mut self,
+        id: UpstreamId,
+        sent: Outstanding,
+        outcome: Outcome,
+        latency: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.fleet.get_mut(id) else { return };
+        if outcome == Outcome::Ok {
+            server.shut_for = 0.0;
+        }
+        // One that was sent before the limit was cut says nothing of what it is now.
+        if outcome != Outcome::Full || sent.sent < server.limited_at {
+            return;
+        }
+        server.limit = (server.limit_at(self.now) * LIMIT_CUT).max(LIMIT_LEAST);
+        server.limited_at = self.now;
+        if latency < sent.to.wait / 2.0 {
+            server.shut_for = (2.0 * server.shut_for).clamp(SHUT_FOR[0], SHUT_FOR[1]);
+            server.shut_until = self.now + server.shut_for;
+        }
+        let limit = server.limit;
+        let text = format!("server {} turned a request away after {latency:.0} ms: limit={limit:.2}", id.0);
+        out.push(Action::Log { about: None, text });
+    }
+
+    /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-
+    /// out tells that the server is at least this slow.
     fn learn(&mut self, id: UpstreamId, sent: Outstanding, latency: Millis, answered: bool) {
         // What a cold server takes longer is no sign of crowding, nor of the speed it will have.
         let Some(server) = self.fleet.get(id).filter(|_| latency > 0.0) else { return };
@@ -493,8 +567,9 @@
         self.seen.kinds.entry(upstream.kind).or_default().answered(seen, SMOOTH_ALL);
         self.seen.fleet.answered(seen, SMOOTH_ALL);
         upstream.answered_at = if answered { self.now } else { upstream.answered_at };
-        // The median of sends that met no queue tells the service time: behind one that we underrate, answers
-        // are late, and a service time learnt from them would have us refuse work that there is room for.
+        // The median of sends that met no queue tells the service time: behind one that we underrate,
+        // answers are late, and a service time learnt from them would have us refuse work that there is
+        // room for.
         if answered && sent.to.depth <= 1.0 {
             service.add(alone, SMOOTH_ALL);
         }
@@ -512,29 +587,45 @@
     fn take_report(&mut self, id: UpstreamId, report: Report) {
         let Some(upstream) = self.fleet.get_mut(id) else { return };
         let Some(in_flight) = report.in_flight.filter(|m| m.is_finite() && *m >= 0.0) else { return };
-        // Utilisation is a running mean while in-flight is of the moment: only means of both may be divided.
+        // Reports are renewed now and then: one that comes again is no news, and would count for more than
+        // one.
+        let again = upstream.last_report.replace(report) == Some(report);
+        if again && upstream.reported_at > self.now - STALE {
+            upstream.reported_at = self.now;
+            return;
+        }
         let since = self.now - upstream.reported_at;
-        let weight = 1.0 - (-since / MEANS_OVER).exp();
+        let utilisation = report.utilisation.filter(|u| *u >= 0.0).map(|u| u.min(1.0));
+        if let Some(utilisation) = utilisation {
+            upstream.mean_utilisation +=
+                (1.0 - (-since / CALM_OVER).exp()) * (utilisation - upstream.mean_utilisation);
+        }
         let others = (in_flight - upstream.outstanding.len() as f64).max(0.0);
         upstream.others += (1.0 - (-since / OTHERS_OVER).exp()) * (others - upstream.others);
         upstream.reported_at = self.now;
         self.seen.others += SMOOTH_ALL * (upstream.others - self.seen.others);
-        upstream.mean_in_flight += weight * (in_flight - upstream.mean_in_flight);
-        let Some(utilisation) = report.utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
+        let Some(utilisation) = utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
         if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
             return;
         }
-        if utilisation < SATURATED {
-            self.seen.kinds.entry(upstream.kind).or_default().reported(in_flight, utilisation, SMOOTH_ALL);
-            self.seen.fleet.reported(in_flight, utilisation, SMOOTH_ALL);
+        // A queue is in the in-flight count, too, so that a busy server's ratio tells how busy it is and
+        // not how large, and serves only until calm ones are known. Whether it is busy is told by its slow
+        // mean: chosen by the moment, the ratio would lean to one side.
+        let calm = upstream.mean_utilisation < CALM && utilisation < SATURATED;
+        let any = !self.settings.sizes_listed && utilisation < SATURATED;
+        let prior = if self.settings.sizes_listed { SIZE_PRIOR } else { 1.0 };
+        let (id, per_weight) = (upstream.kind, in_flight / upstream.weight);
+        for kind in [self.seen.kinds.entry(id).or_default(), &mut self.seen.fleet] {
+            if calm || (any && kind.calm < CALM_ENOUGH) {
+                kind.reported(
+                    per_weight,
+                    utilisation,
+                    KAPPA_STEP.max(1.0 / (1.0 + prior + kind.reports)),
+                    calm,
+                );
+            }
         }
-        // A queue is in the in-flight count, too, so a reading only bounds κ from above: it
-        // falls to the reading at once, but rises slowly, and not at all while all cores are busy.
-        let rise = if utilisation < SATURATED { weight * RISE } else { 0.0 };
-        let sample = (upstream.mean_in_flight / utilisation.min(1.0)).max(1.0);
-        let known = *upstream.kappa.get_or_insert(sample);
-        upstream.kappa = Some(known + (sample - known) * if sample < known { 1.0 } else { rise });
     }
 
     /// Counts an outcome for or against a server: outlier ejection with half-open trials.
@@ -585,7 +676,8 @@
         self.seen.ask_wait =
             if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
         if must_ask && !std::mem::replace(&mut self.seen.ask_pending, true) {
-            // Full jitter: many may have restarted or been cut off together, and the list serves few at once.
+            // Full jitter: many may have restarted or been cut off together, and the list serves few at
+            // once.
             let at = self.now + self.seen.ask_wait * self.rng.rand_float();
             out.push(Action::WakeAt { at, token: 0 });
         }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,9 +1,9 @@
 //! The servers, and the sets that requests are drawn from. Nothing is decided here.
 //!
-//! Two random choices cost the same whatever the fleet, as long as nothing looks at every server. So each server
-//! stands in one set by zone and state, sets are kept by events and drawn from by index, and what changes with
-//! time alone (a cold server grows warm, an ejected one is due for a trial) waits in an order of due times. Only a
-//! list update costs its own length.
+//! Two random choices cost the same whatever the fleet, as long as nothing looks at every server. So each
+//! server stands in one set by zone and state, sets are kept by events and drawn from by index, and what
+//! changes with time alone (a cold server grows warm, an ejected one is due for a trial) waits in an order
+//! of due times. Only a list update costs its own length.
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
@@ -140,8 +140,8 @@
         sets
     }
 
-    /// A pair of distinct members, drawn by `below(n)`, a random number under `n`; the one there is, twice, where
-    /// there is only one.
+    /// A pair of distinct members, drawn by `below(n)`, a random number under `n`; the one there is, twice,
+    /// where there is only one.
     pub fn pair(&self, from: From, mut below: impl FnMut(u64) -> u64) -> Option<[UpstreamId; 2]> {
         let sets = self.sets(from);
         let count = sets.iter().flatten().map(|set| set.len()).sum::<usize>() as u64;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -29,6 +29,8 @@
     #[serde(default)]
     period: f64,
     membership_mode: Membership,
+    #[serde(default)]
+    weights: String,
     telemetry: Telemetry,
 }
 
@@ -150,6 +152,7 @@
                 fall_multiple: self.invariants.fall_multiple,
                 fall: self.invariants.fall,
             },
+            sizes_listed: matches!(self.weights.as_str(), "nominal" | "rough"),
             discovery: match self.membership_mode {
                 Membership::Automatic => Discovery::Pushed,
                 Membership::Subscribe => Discovery::Subscribed { must_ask_in: self.invariants.must_ask_in },
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
 use crate::api::*;
 use crate::fleet::Pool;
 
+/// What a server taught by turning requests away fades over this time.
+const LIMIT_FORGETS: Millis = 2_000.0;
 /// A time that lies before all others, but is finite: a checkpoint keeps times as numbers.
 const NEVER: Millis = f64::MIN;
 
@@ -86,6 +88,8 @@
     pub in_flight: f64,
     pub utilisation: f64,
     pub reports: f64,
+    /// How many of them were of servers with little to do.
+    pub calm: f64,
     /// Geometric running mean of its service time relative to the mean server's.
     pub pace: f64,
     pub answers: f64,
@@ -93,15 +97,21 @@
 
 impl Default for Kind {
     fn default() -> Kind {
-        Kind { in_flight: 0.0, utilisation: 0.0, reports: 0.0, pace: 1.0, answers: 0.0 }
+        // To begin with, κ is the listed weight.
+        Kind { in_flight: 0.5, utilisation: 0.5, reports: 0.0, calm: 0.0, pace: 1.0, answers: 0.0 }
     }
 }
 
 impl Kind {
-    /// Averages in a server's report, the first ones evenly.
-    pub fn reported(&mut self, in_flight: f64, utilisation: f64, step: f64) {
+    /// κ by unit of listed weight.
+    pub fn kappa(&self) -> f64 {
+        self.in_flight.max(0.01) / self.utilisation.max(0.01)
+    }
+
+    /// Averages in a server's report.
+    pub fn reported(&mut self, in_flight: f64, utilisation: f64, step: f64, calm: bool) {
         self.reports += 1.0;
-        let step = step.max(1.0 / self.reports);
+        self.calm += f64::from(u8::from(calm));
         self.in_flight += step * (in_flight - self.in_flight);
         self.utilisation += step * (utilisation - self.utilisation);
     }
@@ -181,12 +191,13 @@
     pub pooled: Option<(usize, Pool)>,
     pub weight: f64,
     pub started: Option<Millis>,
-    pub kappa: Option<f64>,
-    /// Running mean of the reports.
-    pub mean_in_flight: f64,
+    /// Slow running mean of what it reports, 0 to 1.
+    pub mean_utilisation: f64,
     /// Running mean of what others have in flight there: its reports less our own.
     pub others: f64,
     pub reported_at: Millis,
+    /// The newest report, to know the next one from its repetition.
+    pub last_report: Option<Report>,
     pub probe_sent: Option<Millis>,
     pub outstanding: Vec<Outstanding>,
     /// Service time relative to the mean of all servers.
@@ -196,6 +207,12 @@
     /// Failure rate, in millionths.
     pub failures: u32,
     pub health: Health,
+    /// It turned requests away and is left alone until then; for how long, 0 since it served one.
+    pub shut_until: Millis,
+    pub shut_for: Millis,
+    /// The share of its size that it was last seen to take, and when.
+    pub limit: f64,
+    pub limited_at: Millis,
 }
 
 /// A server as one request sees it.
@@ -207,6 +224,9 @@
     pub projected: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
+    /// It turned a request away a moment ago.
+    pub shut: bool,
+    pub limit: f64,
     pub idle: bool,
     pub wait: Millis,
 }
@@ -220,6 +240,8 @@
             warmth: 1.0,
             projected: f64::MAX,
             depth: 1.0,
+            shut: true,
+            limit: 1.0,
             idle: false,
             wait: f64::MAX,
         }
@@ -236,10 +258,10 @@
             pooled: None,
             weight: entry.weight,
             started: entry.started,
-            kappa: None,
-            mean_in_flight: 0.0,
+            mean_utilisation: 0.0,
             others: 0.0,
             reported_at: NEVER,
+            last_report: None,
             probe_sent: None,
             outstanding: Vec::new(),
             slowness: 1.0,
@@ -247,6 +269,10 @@
             answered_at: NEVER,
             failures: 0,
             health: Health::Ready,
+            shut_until: NEVER,
+            shut_for: 0.0,
+            limit: 1.0,
+            limited_at: NEVER,
         }
     }
 
@@ -287,6 +313,11 @@
         }
     }
 
+    /// The share of its size that it takes, as far as that is not forgotten.
+    pub fn limit_at(&self, now: Millis) -> f64 {
+        1.0 - (1.0 - self.limit) * (-(now - self.limited_at) / LIMIT_FORGETS).exp()
+    }
+
     /// Strikes a send off the books.
     pub fn take(&mut self, request: RequestId, attempt: AttemptNo) -> Option<Outstanding> {
         let matching = |o: &Outstanding| o.request == request && o.attempt == attempt;
