--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -259,3 +259,6 @@
         groups.remove(&group);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/fleet/tests.rs
@@ -0,0 +1,162 @@
+//! The sets against a plain look at every server, over random histories.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+
+use super::*;
+
+const HOME: ZoneId = ZoneId(0);
+const SAFETY: Safety = Safety { cold_share: 0.3, warm_up: 100.0, fall_multiple: 3.0, fall: 50.0 };
+
+/// What may happen to the fleet.
+#[derive(Debug, Clone)]
+enum Step {
+    List(Vec<Listing>),
+    Change(Listing),
+    Wait(f64),
+    Eject(u64, f64),
+    Heal(u64),
+    Send(u64),
+    Settle(u64),
+    Count(u64, bool),
+}
+
+fn entry() -> impl Strategy<Value = Listing> {
+    (0..12_u64, 0..3_u64, 0..4_u64, any::<bool>(), prop::option::of(0.0..600.0)).prop_map(
+        |(id, zone, cell, serves, started)| Listing {
+            upstream: UpstreamId(id),
+            zone: ZoneId(zone),
+            cell: CellId(cell),
+            kind: KindId(0),
+            lifecycle: if serves { Lifecycle::Serving } else { Lifecycle::Leaving },
+            weight: 1.0,
+            started,
+        },
+    )
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        1 => prop::collection::vec(entry(), 0..12).prop_map(Step::List),
+        4 => entry().prop_map(Step::Change),
+        3 => (0.0..80.0).prop_map(Step::Wait),
+        2 => (0..12_u64, 1.0..200.0).prop_map(|(id, wait)| Step::Eject(id, wait)),
+        1 => (0..12_u64).prop_map(Step::Heal),
+        3 => (0..12_u64).prop_map(Step::Send),
+        3 => (0..12_u64).prop_map(Step::Settle),
+        2 => (0..12_u64, any::<bool>()).prop_map(|(id, failed)| Step::Count(id, failed)),
+    ]
+}
+
+/// Every server looked at anew: who is in which set, by nothing but the records.
+fn scan(fleet: &Fleet, now: Millis) -> BTreeMap<UpstreamId, (usize, Pool)> {
+    let serving = fleet.servers.iter().filter(|(_, server)| server.serving);
+    let side = |server: &Upstream| usize::from(server.zone != HOME);
+    serving.map(|(id, server)| (*id, (side(server), server.state(now, &SAFETY).0))).collect()
+}
+
+fn play(fleet: &mut Fleet, now: &mut Millis, step: &Step) {
+    let outstanding = |request| Outstanding {
+        request: RequestId(request),
+        attempt: AttemptNo(0),
+        class: ClassId(0),
+        sent: 0.0,
+        to: Candidate::nowhere(UpstreamId(0)),
+    };
+    match step {
+        Step::List(list) => {
+            fleet.keep_only(list);
+            list.iter().for_each(|entry| fleet.update(entry, HOME, *now, &SAFETY));
+        }
+        Step::Change(entry) => fleet.update(entry, HOME, *now, &SAFETY),
+        Step::Wait(by) => *now += by,
+        Step::Eject(id, wait) => {
+            let health = Health::Ejected { until: *now + wait, wait: *wait };
+            fleet.get_mut(UpstreamId(*id)).into_iter().for_each(|server| server.health = health);
+        }
+        Step::Heal(id) => {
+            fleet.get_mut(UpstreamId(*id)).into_iter().for_each(|server| server.health = Health::Ready)
+        }
+        Step::Send(id) => fleet
+            .get_mut(UpstreamId(*id))
+            .into_iter()
+            .for_each(|server| server.outstanding.push(outstanding(1))),
+        Step::Settle(id) => {
+            fleet.get_mut(UpstreamId(*id)).into_iter().for_each(|server| {
+                server.outstanding.pop();
+            });
+            fleet.forget(UpstreamId(*id));
+        }
+        Step::Count(id, failed) => {
+            fleet.count_failure(UpstreamId(*id), *failed, 0.3);
+        }
+    }
+    // What the module does after each event.
+    (0..12).for_each(|id| match step {
+        Step::Eject(at, _) | Step::Heal(at) | Step::Send(at) | Step::Settle(at) if *at == id => {
+            fleet.settle(UpstreamId(id), *now, &SAFETY)
+        }
+        _ => {}
+    });
+    fleet.pass_time(*now, &SAFETY);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: prop::test_runner::RngSeed::Fixed(7), ..ProptestConfig::with_cases(400) })]
+
+    /// Guards against sets that lose, double or misplace a server: after any history they are those that a
+    /// look at every server gives, and so are the sums and whoever is drawn.
+    #[test]
+    fn the_sets_are_those_that_a_scan_gives(steps in prop::collection::vec(step(), 1..60)) {
+        let (mut fleet, mut now) = (Fleet::default(), 0.0);
+        for step in &steps {
+            play(&mut fleet, &mut now, step);
+            let scanned = scan(&fleet, now);
+            let mut kept = BTreeMap::new();
+            for (side, pools) in fleet.pools.iter().enumerate() {
+                for (pool, set) in [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].iter().zip(pools) {
+                    for id in set {
+                        prop_assert!(kept.insert(*id, (side, *pool)).is_none(), "{id:?} twice");
+                    }
+                }
+            }
+            prop_assert_eq!(&kept, &scanned);
+            let failures = fleet.servers.values().filter(|s| s.serving).map(|s| u64::from(s.failures)).sum::<u64>();
+            prop_assert_eq!(fleet.failures, failures);
+            prop_assert!(fleet.servers.values().all(|s| s.serving || !s.outstanding.is_empty()));
+            for (id, (side, pool)) in &scanned {
+                let server = &fleet.servers[id];
+                let ready = *pool != Pool::Waiting;
+                let warm = *pool == Pool::Warm;
+                for (from, member) in [
+                    (From::Near, warm && *side == 0),
+                    (From::Warm, warm),
+                    (From::Ready, ready),
+                    (From::Everyone, true),
+                    (From::Zone(server.zone), true),
+                    (From::Cell(server.cell), true),
+                ] {
+                    prop_assert_eq!(drawn(&fleet, from).contains(id), member, "{:?} of {:?}", id, from);
+                }
+            }
+        }
+    }
+}
+
+/// Whoever a draw can give, by trying every index.
+fn drawn(fleet: &Fleet, from: From) -> BTreeSet<UpstreamId> {
+    let mut all = BTreeSet::new();
+    for first in 0..12 {
+        let mut draws = 0;
+        let pair = fleet.pair(from, |count| {
+            draws += 1;
+            if draws == 1 { first % count } else { 0 }
+        });
+        all.extend(pair.into_iter().flatten());
+        if let Some([a, b]) = pair {
+            assert!(a != b || draws == 1, "a pair of one where there are more");
+        }
+    }
+    all
+}
