Let more wait at a server the fewer sidecars send there unseen, and prefer near ones with room

There two sidecars carry all traffic and know nearly all that a server holds; the limit was set where six to eight cannot see each other. And near servers were kept to only while a request there was expected in a quarter of its aim, which the limit makes needless.

Change: the share that may wait is 1.5 / sidecars^0.7 of what a server works on; the first pair is of near servers whatever their wait, as long as they have room.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,10 +55,12 @@
 /// half as strongly where this share is.
 const FAVOUR: f64 = 0.8;
 const FAVOUR_HALF: f64 = 0.1;
-/// A send is accepted while the server holds no more than this multiple of what it works on at once: one
-/// more than it has cores. What waits at a server slows it down; what waits at a client does not.
-const QUEUE: f64 = 1.34;
-/// How strongly room makes up for a class that is refused more than the whole.
+/// A server is sent no more than it works on at once and a share of that to wait there: this one for a
+/// sidecar by itself, less the more others send there unseen. What waits at a server slows it down; what
+/// waits at a client does not.
+const WAITING: f64 = 1.5;
+const UNSEEN: f64 = 0.7;
+/// How strongly what a request may ask of servers makes up for a class that is refused more than the whole.
 const EVEN: f64 = 1.0;
 /// A server this little used, with one request more, counts as idle.
 const IDLE: f64 = 0.5;
@@ -192,15 +194,14 @@
         let spared = self.fleet.count(&[Pool::Warm, Pool::Cold]) > held.tries.len();
         let aim_left = self.aim_left(held);
         let room = self.room(held) * aim_left;
-        let most = QUEUE * self.favour(held);
-        // With roughly exponential answer times one expected at `wait` misses its aim with probability
-        // exp(-aim/wait): while that is below the fee, crossing does not pay.
-        let fee = self.settings.crossing_fee;
-        let near_room = if fee > 0.0 { room.min(aim_left / (1.0 / fee).ln().max(1.0)) } else { 0.0 };
+        let others_unseen = f64::from(self.settings.sidecars.max(1)).powf(UNSEEN);
+        let most = (1.0 + WAITING / others_unseen) * self.favour(held);
+        // A near server that has room answers sooner; its limit keeps it from being filled up.
+        let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
         for round in 0..rounds {
             let from = match within {
-                From::Ready if round == 0 && near_room > 0.0 => From::Near,
+                From::Ready if round == 0 && prefer_near => From::Near,
                 // What a cold pair must not be sent yet goes to warm servers: the client would only ask
                 // again.
                 From::Ready if cold_drawn => From::Warm,
@@ -210,7 +211,6 @@
             let Some(ids) = self.fleet.pair(from, |count| rng.rand_range(0..count)) else { continue };
             let pair = ids.map(|id| self.look(id, held));
             last = Some(pair);
-            let room = if from == From::Near { near_room } else { room };
             let by_use = if pair[1].projected < pair[0].projected { [pair[1], pair[0]] } else { pair };
             for to in by_use {
                 // One that has just failed this request is the likeliest to fail it again.
