Test large fleets, lists that turn over and the way out of a jam

Change: tests of three ready servers among ten thousand, a list replaced whole, a hundred joins and leaves a second, and service nine seconds after a jam of ten.

--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,102 @@
+//! Large fleets, lists that turn over, and the way out of a jam.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::*;
+use sagemast::api::*;
+
+/// Sends one request and answers it in 20 ms; where it went.
+fn served(stage: &mut Stage) -> Option<UpstreamId> {
+    let (request, actions) = stage.arrive(REPEATABLE);
+    let to = sent_to(&actions)?;
+    stage.now += 20.0;
+    stage.finish(request, 0, to, Outcome::Ok, 20.0);
+    Some(to)
+}
+
+/// Guards against draws among those that do not serve: three of ten thousand must be found each time.
+#[test]
+fn three_ready_of_ten_thousand_take_all() {
+    let leaving = |id: u64| if id % 3_000 == 1_234 { Lifecycle::Serving } else { Lifecycle::Leaving };
+    let list = (0..10_000).map(|id| Listing { lifecycle: leaving(id), ..listing(id) }).collect();
+    let mut stage = Stage::new(settings(), list);
+    let used: BTreeSet<u64> = (0..300).map(|_| served(&mut stage).expect("there is room").0).collect();
+    assert_eq!(used, BTreeSet::from([1_234, 4_234, 7_234]));
+}
+
+/// Guards against servers that linger: after a whole list that names none of the old ones, none of them is sent
+/// anything, and what they still answer does no harm.
+#[test]
+fn a_list_replaced_whole_leaves_nothing_of_the_old_one() {
+    let mut stage = Stage::new(settings(), (0..50).map(listing).collect());
+    let held: Vec<_> = (0..20).map(|_| stage.arrive(REPEATABLE)).collect();
+    stage.event(Event::Listed(ListNews::Complete((100..150).map(listing).collect())));
+    for _ in 0..200 {
+        assert!(served(&mut stage).expect("there is room").0 >= 100);
+    }
+    for (request, actions) in held {
+        let to = sent_to(&actions).expect("there was room");
+        assert!(to.0 < 50);
+        let after = stage.finish(request, 0, to, Outcome::Unreachable, 30.0);
+        assert!(sent_to(&after).is_none_or(|to| to.0 >= 100), "{after:?}");
+    }
+}
+
+/// Guards against sets that fall behind the list: a hundred joins and leaves a second, for thirty seconds.
+#[test]
+fn servers_that_join_and_leave_are_followed_at_once() {
+    let mut stage = Stage::new(settings(), (0..10).map(listing).collect());
+    let mut serving: BTreeSet<u64> = (0..10).collect();
+    for round in 0..3_000_u64 {
+        stage.now += 10.0;
+        let id = (round * 7) % 23;
+        let joins = serving.len() < 5 || (!serving.contains(&id) && serving.len() < 15);
+        let lifecycle = if joins { Lifecycle::Serving } else { Lifecycle::Leaving };
+        stage.event(Event::Listed(ListNews::Changed(vec![Listing { lifecycle, ..listing(id) }])));
+        if joins {
+            serving.insert(id)
+        } else {
+            serving.remove(&id)
+        };
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let to = sent_to(&actions).expect("there is room");
+        assert!(serving.contains(&to.0), "{to:?} at round {round}");
+        stage.finish(request, 0, to, Outcome::Ok, 5.0);
+    }
+}
+
+/// Guards against a bad state that the load does not explain: for ten seconds every server turns away or answers late,
+/// and ten seconds after it has ended all is served again.
+#[test]
+fn service_is_as_before_within_seconds_after_a_jam() {
+    let ids: Vec<u64> = (1..=9).collect();
+    let mut stage = Stage::new(settings(), ids.iter().copied().map(listing).collect());
+    stage.settle(&ids, 1.0, 0.33);
+    let mut refusals = [0, 0, 0];
+    for round in 0..3_000_usize {
+        stage.now += 10.0;
+        let (jam, period) = ((1_000..2_000).contains(&round), round / 1_000);
+        if round % 30 == 0 {
+            let (in_flight, used) = if jam { (9.0, 1.0) } else { (1.0, 0.33) };
+            ids.iter().for_each(|id| stage.report(*id, in_flight, used));
+        }
+        let (request, mut actions) = stage.arrive(REPEATABLE);
+        let mut attempt = 0;
+        while let Some(to) = sent_to(&actions) {
+            let outcome = match (jam, round % 2) {
+                (true, 0) => Outcome::Full,
+                _ => Outcome::Ok,
+            };
+            actions = stage.finish(request, attempt, to, outcome, if jam { 400.0 } else { 30.0 });
+            attempt += 1;
+        }
+        // The first second after the jam, its reports are still believed.
+        let counted = period < 2 || round >= 2_900;
+        refusals[period] += usize::from(counted && refused(&actions));
+    }
+    assert_eq!(refusals[0], 0, "before: {refusals:?}");
+    assert!(refusals[1] > 100, "in the jam: {refusals:?}");
+    assert_eq!(refusals[2], 0, "from nine seconds after it on: {refusals:?}");
+}
