Count sends that hang as no load where their server answers others

Change: what is out for five service times, on a server that has answered since, holds no place. The sends stand in the order of time, so that the count is a search in our own.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -77,6 +77,8 @@
 const RETRY_AFTER: f64 = 0.3;
 /// An attempt is given at least this multiple of its expected time before another is tried.
 const PATIENCE: f64 = 4.0;
+/// What is out for this many service times, while the server answers others, is taken for lost.
+const LOST_AFTER: f64 = 5.0;
 /// Time left to the aim when another attempt is tried, in service times.
 const RETRY_ROOM: f64 = 1.5;
 /// A server is ejected when its failure rate is this far above that of its peers.
@@ -402,7 +404,15 @@
     /// server takes the mean of the known ones.
     fn in_flight(&self, upstream: &Upstream) -> f64 {
         let heard = self.now - upstream.reported_at <= STALE;
-        upstream.outstanding.len() as f64 + if heard { upstream.others } else { self.seen.others }
+        // What is out for long while the server answers others is lost or hangs, and holds no place there.
+        let longest = self.seen.service.iter().map(|service| service.time).fold(1.0, f64::max);
+        let since = self.now - LOST_AFTER * longest * self.remembered(upstream).max(1.0);
+        let lost = if upstream.answered_at < since {
+            0
+        } else {
+            upstream.outstanding.partition_point(|o| o.sent < since)
+        };
+        (upstream.outstanding.len() - lost) as f64 + if heard { upstream.others } else { self.seen.others }
     }
 
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -100,3 +100,20 @@
     assert!(refusals[1] > 100, "in the jam: {refusals:?}");
     assert_eq!(refusals[2], 0, "from nine seconds after it on: {refusals:?}");
 }
+
+/// Guards against a limit filled by what will never be answered: where one request in five hangs, while its server
+/// answers the others, those that hang must not keep the others out.
+#[test]
+fn sends_that_hang_hold_no_place_at_a_server_that_answers() {
+    let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
+    stage.settle(&[1, 2], 1.0, 0.25);
+    for round in 0..200 {
+        let (request, actions) = stage.arrive(REPEATABLE);
+        let to = sent_to(&actions).expect("there is room");
+        stage.now += 20.0;
+        if round % 5 > 0 {
+            stage.finish(request, 0, to, Outcome::Ok, 20.0);
+        }
+        [1, 2].into_iter().for_each(|id| stage.report(id, 1.0, 0.25));
+    }
+}
