Drop a constant from the reach, a second look-up of an outcome, and a copy of the fading

Cause: read again, the change carried the number of draws, always the same, beside whom to draw from; looked up the request and its try twice for each outcome and cloned it for no use; wrote the fading of a learnt share in two places; and four comments told what is no longer so.

Change: the draws are the constant, an outcome looks its try up once, `faded` serves both, the comments are true.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
 //! Every decision of the load balancer. The types it speaks in are in `src/api.rs`.
 //!
 //! Ordinary path: per request draw two ready servers at random and send to the one with the smaller
-//! projected utilisation (m+1)/κ. Read on in the order a request meets it: arrival, survey, draw, send,
-//! outcome; then reports, health, cold starts, the list.
+//! projected utilisation (m+1)/κ. Read on in the order a request meets it: arrival, choice, room, look, send,
+//! outcome; then limits, reports, health, the list.
 
 use std::collections::BTreeMap;
 
@@ -21,7 +21,7 @@
 /// it comes, and every sidecar reads the same one, so that by single readings all crowd the same server at
 /// once.
 const OTHERS_OVER: Millis = 3_000.0;
-/// In-flight is averaged over about this time, as servers average their utilisation.
+/// Servers average their utilisation over about this time.
 const MEANS_OVER: Millis = 700.0;
 /// Reports tell κ while a server's utilisation, averaged over about this time, is below this.
 const CALM: f64 = 0.6;
@@ -192,7 +192,7 @@
     /// Draws pairs until one has a member with room; it goes to the one with the smaller projected
     /// utilisation.
     fn choose(&mut self, request: RequestId, held: &Held, out: &mut Vec<Action>) -> Option<Candidate> {
-        let (within, rounds) = self.reach(held)?;
+        let within = self.reach(held)?;
         let spared = self.fleet.count(&[Pool::Warm, Pool::Cold]) > held.tries.len();
         let aim_left = self.aim_left(held);
         let room = self.room(held) * aim_left;
@@ -201,7 +201,7 @@
         // A near server that has room answers sooner; its limit keeps it from being filled up.
         let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
-        for round in 0..rounds {
+        for round in 0..PAIRS {
             let from = match within {
                 From::Ready if round == 0 && prefer_near => From::Near,
                 // What a cold pair must not be sent yet goes to warm servers: the client would only ask
@@ -240,11 +240,11 @@
         None
     }
 
-    /// Whom a request may go to, by what may have run already, and how many pairs are drawn at the most.
-    fn reach(&self, held: &Held) -> Option<(From, usize)> {
+    /// Whom a request may go to, by what may have run already.
+    fn reach(&self, held: &Held) -> Option<From> {
         // Everyone looks bad: rather ask someone than no one.
         let healthy = self.fleet.count(&[Pool::Warm, Pool::Cold]) > 0;
-        let anyone = Some((if healthy { From::Ready } else { From::Everyone }, PAIRS));
+        let anyone = Some(if healthy { From::Ready } else { From::Everyone });
         let Some(first) = held.tries.iter().find(|t| t.out || t.may_have_run) else { return anyone };
         match self.settings.classes[held.class.0].effect {
             Effect::Repeatable => anyone,
@@ -254,8 +254,8 @@
                 None
             }
             Effect::ByKey { scope: Scope::All, .. } => anyone,
-            Effect::ByKey { scope: Scope::Zone, .. } => Some((From::Zone(first.zone), PAIRS)),
-            Effect::ByKey { scope: Scope::Cell, .. } => Some((From::Cell(first.cell), PAIRS)),
+            Effect::ByKey { scope: Scope::Zone, .. } => Some(From::Zone(first.zone)),
+            Effect::ByKey { scope: Scope::Cell, .. } => Some(From::Cell(first.cell)),
         }
     }
 
@@ -328,7 +328,7 @@
 
     /// What was learnt of late answers fades: after a jam hardly any answers come to unlearn it by.
     fn room_scale(&self) -> f64 {
-        1.0 - (1.0 - self.seen.room_scale) * (-(self.now - self.seen.room_at) / ROOM_FORGETS).exp()
+        faded(self.seen.room_scale, self.now - self.seen.room_at, ROOM_FORGETS)
     }
 
     /// What a request earns for its service time. No sidecar can know which tenants are over their share;
@@ -475,20 +475,18 @@
         let Some(held) = self.requests.get_mut(&request) else { return };
         let Some(this) = held.tries.get_mut(end.attempt.0 as usize).filter(|t| t.out) else { return };
         this.out = false;
+        this.may_have_run = outcome.may_have_run();
         let full = outcome == Outcome::Full;
         let late = self.now > held.arrived + self.settings.classes[held.class.0].aim;
         let step = if full { 0.0 } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
         self.seen.room_scale = (self.room_scale() * (1.0 + step)).clamp(0.25, 1.0);
         self.seen.room_at = self.now;
-        let Some(held) = self.requests.get_mut(&request) else { return };
-        let Some(this) = held.tries.get_mut(end.attempt.0 as usize) else { return };
-        this.may_have_run = outcome.may_have_run();
         if end.closed || outcome == Outcome::Ok {
             return self.abandoned(request, out);
         }
-        let held = held.clone();
+        let Some(held) = self.requests.get(&request) else { return };
         let attempts_left = (held.tries.len() as u32) < self.settings.limits.max_attempts;
-        let worth_it = self.aim_left(&held) > 0.0 && outcome != Outcome::NotSent;
+        let worth_it = self.aim_left(held) > 0.0 && outcome != Outcome::NotSent;
         if attempts_left && worth_it && self.seen.retry_tokens >= 1.0 {
             self.seen.retry_tokens -= 1.0;
             self.place(request, out);
@@ -561,8 +559,8 @@
         out.push(Action::Log { about: None, text });
     }
 
-    /// An answer tells the class's service time and this server's pace, with the queue taken out; a time-
-    /// out tells that the server is at least this slow.
+    /// An answer tells the class's service time and this server's pace, with the queue taken out; a
+    /// time-out tells that the server is at least this slow.
     fn learn(&mut self, id: UpstreamId, sent: Outstanding, latency: Millis, answered: bool) {
         // What a cold server takes longer is no sign of crowding, nor of the speed it will have.
         let Some(server) = self.fleet.get(id).filter(|_| latency > 0.0) else { return };
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -118,7 +118,7 @@
         self.failures as f64 / 1e6 / (self.serving() as f64).max(1.0)
     }
 
-    /// The member of these sets at an index, counted through all of them.
+    /// The sets that make up whom a pair is drawn from.
     fn sets(&self, from: From) -> [Option<&Set>; 2 * POOLS] {
         let mut sets = [None; 2 * POOLS];
         let (sides, pools): (&[[Set; POOLS]], usize) = match from {
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,11 @@
 /// A time that lies before all others, but is finite: a checkpoint keeps times as numbers.
 const NEVER: Millis = f64::MIN;
 
+/// A share of the usual that was learnt so long ago and goes back to all of it over a time.
+pub(crate) fn faded(share: f64, since: Millis, over: Millis) -> f64 {
+    1.0 - (1.0 - share) * (-since / over).exp()
+}
+
 /// One send of a request.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Try {
@@ -61,7 +66,7 @@
 /// What is known of one class, times from answers that met no queue.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct Service {
-    /// Running median of its time at a mean server, without the network.
+    /// Running median of its time at a mean server, network time included.
     pub time: Millis,
     pub samples: f64,
     /// Share of its arrivals that was refused.
@@ -315,7 +320,7 @@
 
     /// The share of its size that it takes, as far as that is not forgotten.
     pub fn limit_at(&self, now: Millis) -> f64 {
-        1.0 - (1.0 - self.limit) * (-(now - self.limited_at) / LIMIT_FORGETS).exp()
+        faded(self.limit, now - self.limited_at, LIMIT_FORGETS)
     }
 
     /// Strikes a send off the books.
