Lay the repository out as a workspace: module, simulator's adapter, node and program

Fronts, transports, rosters and routes are to come as packages and folders of their own, and one package with all in it hides who may know whom. Files are moved, not changed, but for their imports and one method's name that clippy asks for in a library. All tests that there were pass where they stand now.

--- a/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -1,7 +1,5 @@
 //! The sidecar: one program on real sockets round the decision module of the library.
 
-mod net;
-
 use std::ffi::OsString;
 use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
@@ -16,15 +14,15 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use net::address_lists::AddressLists;
-use net::capture::{self, replay::Tally};
-use net::client::{self, Doors, Front, Names, Phase};
-use net::config::Config;
-use net::driver::{Driver, Happening};
-use net::figures::Figures;
-use net::log;
-use net::operator::{self, Operator};
-use net::tls::{Source, Tls};
+use node::address_lists::AddressLists;
+use node::capture::{self, replay::Tally};
+use node::client::{self, Doors, Front, Names, Phase};
+use node::config::Config;
+use node::driver::{Driver, Happening};
+use node::figures::Figures;
+use node::log;
+use node::operator::{self, Operator};
+use node::tls::{Source, Tls};
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
--- a/src/net/driver.rs
+++ b/crates/node/src/driver.rs
@@ -297,7 +297,7 @@
         let counters = std::mem::take(&mut self.counters);
         if !counters.is_idle() {
             let clients = self.front.connections.load(Ordering::Relaxed);
-            let idle: usize = self.servers.values().map(|server| server.pool.len()).sum();
+            let idle: usize = self.servers.values().map(|server| server.pool.count()).sum();
             let (open, out) = (self.open.len(), self.sent.len());
             log::rare(format!("{counters}; now open={open} out={out} clients={clients} idle={idle}"));
         }
--- a/src/net/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -289,7 +289,7 @@
     }
 
     /// How many there are.
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.idle.len()
     }
 
