--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -11,18 +11,21 @@
 use anyhow::{Context, Result, bail};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use node::address_lists::AddressLists;
-use node::capture::{self, replay::Tally};
-use node::client::{self, Doors, Front, Names, Phase};
 use node::config::Config;
-use node::driver::{Driver, Happening};
+use node::engine::{Engine, Names, News, Orders, Surroundings, Ways};
 use node::figures::Figures;
+use node::fronts::Phase;
+use node::fronts::address_lists::AddressLists;
+use node::fronts::http::{self, Doors, Front};
+use node::fronts::tls::{Source, Tls};
 use node::log;
 use node::operator::{self, Operator};
-use node::tls::{Source, Tls};
+use node::replay::{self, Tally};
+use node::rosters::discovery::{self, HostList};
+use node::transports::http1::{self, Http1};
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -83,7 +86,7 @@
 fn replay(config: &Path, captures: &[PathBuf]) -> Result<ExitCode> {
     let mut out = BufWriter::new(std::io::stdout().lock());
     let mut warn = std::io::stderr().lock();
-    let tally = capture::replay::replay(config, captures, &mut out, &mut warn)?;
+    let tally = replay::replay(config, captures, &mut out, &mut warn)?;
     out.flush().context("cannot write the differences")?;
     let Tally { events, differences, skipped, unread } = tally;
     writeln!(
@@ -115,7 +118,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
     let mut dump = signal(SignalKind::user_defined1()).context("cannot wait for SIGUSR1")?;
-    let listener = client::listen(config.listen)?;
+    let listener = http::listen(config.listen)?;
     log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
     let tls = match &operator.tls {
@@ -124,10 +127,8 @@
     };
     log::line(format!("listening on {address}"));
     let (phase, phases) = watch::channel(Phase::Open);
-    let (happenings, inbox) = mpsc::unbounded_channel();
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
-    let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
     let figures = match operator.figures.take() {
         Some(settings) => {
             let every = Duration::from_millis(settings.flush_ms as u64);
@@ -138,26 +139,29 @@
         None => None,
     };
     let lists = operator.address_lists.take().map(AddressLists::new);
-    let front = Arc::new(Front::new(names, phases, happenings.clone(), lists, figures.clone()));
-    let (clients, upstreams) = (config.limits.clients(), config.limits.upstreams());
-    let capture = operator.capture.as_ref();
-    let driver =
-        Driver::new(config.settings, seed, config.discovery, front.clone(), inbox, upstreams, capture);
-    let driver = operator.blame(driver)?;
-    let mut driver = tokio::spawn(driver.run(config.known));
+    let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
+    let Ways { intake, reports, news, orders, inbox } = Ways::new(names);
+    let front = Arc::new(Front::new(intake.clone(), phases, lists, figures.clone()));
+    let transport =
+        Box::new(Http1::new(http1::Settings::new(&config.settings, config.limits.upstreams()), reports));
+    let roster = Box::new(discovery::Source { address: config.discovery, news: news.clone() });
+    let surroundings = Surroundings { intake, inbox, transport, roster };
+    let (clients, known) = (config.limits.clients(), config.known.as_ref().map(HostList::list));
+    let engine = Engine::new(config.settings, seed, surroundings, operator.capture.as_ref());
+    let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
     let doors = Doors { plain: listener, tls };
-    let serving = tokio::spawn(client::serve(doors, front, clients));
+    let serving = tokio::spawn(http::serve(doors, front, clients));
 
     loop {
         tokio::select! {
             _ = terminate.recv() => break log::line("SIGTERM: finishing what is held"),
             _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
-            _ = hang_up.recv() => reread(&happenings),
-            _ = dump.recv() => drop(happenings.send(Happening::Dump)),
+            _ = hang_up.recv() => reread(&orders, &news),
+            _ = dump.recv() => orders.dump(),
             // It never ends by itself. Without it nothing is answered: better to be started anew.
-            _ = &mut driver => {
+            _ = &mut engine => {
                 figures.iter().for_each(|figures| figures.finish());
-                bail!("the driver has failed")
+                bail!("the engine has failed")
             }
         }
     }
@@ -168,9 +172,9 @@
         log::line("some clients have not let go in time");
     }
     figures.iter().for_each(|figures| figures.finish());
-    // With the driver the capture ends, and writes its last lines.
-    driver.abort();
-    let _ = driver.await;
+    // With the engine the capture ends, and writes its last lines.
+    engine.abort();
+    let _ = engine.await;
     Ok(())
 }
 
@@ -178,20 +182,20 @@
 fn tls_door(settings: &operator::Tls, plain: SocketAddr) -> Result<(TcpListener, Arc<Tls>)> {
     let tls = Arc::new(Tls::start(Source::new(settings)?)?);
     let at = SocketAddr::new(plain.ip(), settings.port.unwrap_or_default());
-    let listener = client::listen(at).context("tls.port")?;
+    let listener = http::listen(at).context("tls.port")?;
     let address = listener.local_addr().context("the listener has no address")?;
     log::line(format!("tls: handshakes on {address}"));
     tokio::spawn(tls.clone().keep_fresh(Duration::from_secs(settings.reload_s as u64)));
     Ok((listener, tls))
 }
 
-/// Reads the configuration again and tells the driver what may change while it runs. A file that cannot be used
+/// Reads the configuration again and tells the engine what may change while it runs. A file that cannot be used
 /// is no reason to stop serving by the one that could.
-fn reread(happenings: &mpsc::UnboundedSender<Happening>) {
+fn reread(orders: &Orders, news: &News) {
     match Config::from_env() {
         Ok(config) => {
             log::line(format!("SIGHUP: discovery is at {}", config.discovery));
-            let _ = happenings.send(Happening::Reconfigured { discovery: config.discovery });
+            orders.follow(Box::new(discovery::Source { address: config.discovery, news: news.clone() }));
         }
         Err(error) => log::line(format!("SIGHUP: the configuration stays as it was: {error:#}")),
     }
--- a/crates/node/src/capture/files.rs
+++ b/crates/node/src/capture/files.rs
@@ -8,8 +8,8 @@
 use anyhow::{Context, Result};
 use bytes::Bytes;
 
-use super::super::log;
-use super::super::output::{Output, Share};
+use crate::log;
+use crate::output::{Output, Share};
 
 /// How much may wait for a slow disk.
 const WAITING_BYTES: usize = 256 << 10;
--- a/crates/node/src/capture/mod.rs
+++ b/crates/node/src/capture/mod.rs
@@ -7,7 +7,6 @@
 
 mod files;
 pub mod line;
-pub mod replay;
 
 use std::borrow::Cow;
 use std::collections::VecDeque;
@@ -20,9 +19,9 @@
 use sagemast::Balancer;
 use sagemast::api::*;
 
-use super::log;
-use super::operator::Capture as Settings;
-use super::output::Share;
+use crate::log;
+use crate::operator::Capture as Settings;
+use crate::output::Share;
 use files::Files;
 use line::{Line, Named, What, decision};
 
@@ -362,7 +361,7 @@
         }
 
         fn event(&mut self, event: Event, hosts: Vec<Named<'_>>) {
-            let request = replay::about(&event);
+            let request = crate::replay::about(&event);
             let mut did = Vec::new();
             self.module.handle(self.now, event.clone(), &mut did);
             let id = request.map(|request| format!("id-{}", request.0));
@@ -484,7 +483,7 @@
         stage.run(20);
         let text = stage.text();
         assert!(text.lines().all(|line| line.len() < 8 << 10));
-        let tally = replay::tests::of(&[&text], settings()).0;
+        let tally = crate::replay::tests::of(&[&text], settings()).0;
         assert!(tally.differences == 0 && tally.skipped == 0 && tally.events > 40, "{tally:?}");
     }
 
@@ -536,7 +535,7 @@
         assert!(texts.iter().all(|text| text.len() <= 32 << 10));
         assert!(texts[2].contains("\"start\"") && texts[2].contains("\"id-10\""), "the last lines are there");
         let all: Vec<&str> = texts.iter().map(String::as_str).collect();
-        let (tally, _) = replay::tests::of(&all, settings());
+        let (tally, _) = crate::replay::tests::of(&all, settings());
         assert!(tally.differences == 0 && tally.events > 50, "{tally:?}");
         std::fs::remove_dir_all(&folder).expect("it can be removed");
         let nowhere = Settings { folder: Some("/proc/nowhere/capture".into()), ..small() };
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,7 +7,7 @@
 use sagemast::settings::Config as SettingsObject;
 use serde::Deserialize;
 
-use super::discovery::HostList;
+use crate::rosters::discovery::HostList;
 
 /// The configuration file.
 #[derive(Deserialize)]
--- /dev/null
+++ b/crates/node/src/engine/attempts.rs
@@ -0,0 +1,107 @@
+//! Sends and probes, and what became of them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::{HeaderMap, StatusCode};
+use sagemast::api::*;
+use sagemast::settings::report_from_text;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::counters::name_of;
+use super::message::{End, Final, end_to_end};
+use super::transport::{Attempt, Flight};
+use super::{Engine, Sent};
+
+/// A probe that has not come back by then says nothing: servers answer them beside their queue.
+const PROBE_TIME: Duration = Duration::from_millis(150);
+
+impl Engine {
+    /// Sends a request once more.
+    pub(super) fn send(&mut self, request: RequestId, upstream: UpstreamId, timeout: Millis) {
+        let now = Instant::now();
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = AttemptNo(open.sends);
+        open.sends += 1;
+        let timeout = Duration::try_from_secs_f64(timeout / 1e3).unwrap_or_default();
+        let until = match now.checked_add(timeout) {
+            Some(until) if !timeout.is_zero() => until.min(open.deadline),
+            _ => open.deadline,
+        };
+        let flight = Flight { request, attempt, upstream, until };
+        let (forward, lease) = (open.forward.clone(), Arc::downgrade(&open.lease));
+        let (give_up, given_up) = oneshot::channel();
+        let sent = Sent { upstream, forward: forward.clone(), at: now, give_up: Some(give_up) };
+        self.sent.insert((request, attempt), sent);
+        self.transport.attempt(Attempt { flight, forward, given_up, open: lease });
+    }
+
+    /// An attempt has ended.
+    pub(super) fn ended(&mut self, flight: Flight, end: End) {
+        let key = (flight.request, flight.attempt);
+        let mut reason = None;
+        let (outcome, answer) = match end {
+            End::Outcome(outcome, answer) => (outcome, answer),
+            End::Broken(outcome, why) => {
+                reason = Some(why);
+                (outcome, None)
+            }
+        };
+        let Some(sent) = self.sent.remove(&key) else { return };
+        let latency = sent.at.elapsed().as_secs_f64() * 1e3;
+        self.counters.ended(outcome);
+        if outcome != Outcome::Ok {
+            self.remember(flight, outcome, latency, answer.as_ref().map(|a| a.status), reason.as_deref());
+        }
+        let report = answer.as_ref().and_then(|answer| {
+            let text = answer.headers.get("x-server-load").filter(|_| self.settings.reports_in_answers())?;
+            report_from_text(&self.columns, text.to_str().ok()?)
+        });
+        // The first answer goes to the client by itself and ends the request.
+        let mut closed = !self.open.contains_key(&flight.request);
+        if let (Outcome::Ok, Some(answer)) = (outcome, answer) {
+            self.finish(flight.request, Final::Served(client_headers(&answer.headers), answer.body));
+            closed = true;
+        }
+        let finished = Finished {
+            request: flight.request,
+            attempt: flight.attempt,
+            upstream: flight.upstream,
+            outcome,
+            latency,
+            closed,
+            report,
+        };
+        self.event_of(Event::Finished(finished), Some(&sent.forward), None);
+    }
+
+    /// Notes an attempt that did not serve its request with it.
+    fn remember(
+        &mut self,
+        flight: Flight,
+        outcome: Outcome,
+        latency: Millis,
+        status: Option<StatusCode>,
+        reason: Option<&str>,
+    ) {
+        let host = self.servers.get(&flight.upstream).map_or("?", |server| &server.host);
+        let Some(open) = self.open.get_mut(&flight.request) else { return };
+        let status = status.map(|status| format!(" {}", status.as_u16())).unwrap_or_default();
+        let reason = reason.map(|reason| format!(" ({reason})")).unwrap_or_default();
+        open.trail += &format!(" {host} {}{status} {latency:.0} ms{reason}", name_of(outcome));
+    }
+
+    /// Asks an upstream for its load.
+    pub(super) fn probe(&mut self, upstream: UpstreamId) {
+        self.counters.probes += u32::from(self.servers.contains_key(&upstream));
+        self.transport.probe(upstream, Instant::now() + PROBE_TIME);
+    }
+}
+
+/// An upstream's headers as they go on to the client.
+fn client_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = end_to_end(headers);
+    kept.remove("x-server-load");
+    kept
+}
--- a/crates/node/src/counters.rs
+++ b/crates/node/src/engine/counters.rs
@@ -5,6 +5,8 @@
 
 use sagemast::api::Outcome;
 
+use super::transport::Counts;
+
 /// The outcomes of attempts in the order in which they are counted.
 const OUTCOMES: [(Outcome, &str); 8] = [
     (Outcome::Ok, "ok"),
@@ -37,16 +39,8 @@
     pub failed: u32,
     /// Given up by their clients.
     pub left: u32,
-    /// Ended by the driver because the module had not.
+    /// Ended by the engine because the module had not.
     pub overdue: u32,
-    /// Connections opened to upstreams, for attempts and probes.
-    pub opened: u32,
-    /// Attempts and probes over an idle connection.
-    pub reused: u32,
-    /// Idle connections that turned out to be closed when used.
-    pub stale: u32,
-    /// Attempts and probes that found no descriptor left.
-    pub no_descriptor: u32,
     /// Probes sent.
     pub probes: u32,
     /// Probes that got no answer in time, one that is not 200, and one without a report that can be read.
@@ -79,20 +73,31 @@
     }
 }
 
-impl Display for Counters {
+/// Counts together with those of the transport.
+pub struct Told<'a>(&'a Counters, &'a Counts);
+
+impl Counters {
+    /// The line about these counts.
+    pub fn told<'a>(&'a self, connections: &'a Counts) -> Told<'a> {
+        Told(self, connections)
+    }
+}
+
+impl Display for Told<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
-        let Counters { arrived, served, refused, unsent, failed, left, overdue, .. } = self;
+        let Told(counters, connections) = self;
+        let Counters { arrived, served, refused, unsent, failed, left, overdue, .. } = counters;
         write!(f, "requests arrived={arrived} served={served} refused={refused} unsent={unsent}")?;
         write!(f, " failed={failed} left={left} overdue={overdue}; attempts")?;
-        for ((_, name), count) in OUTCOMES.iter().zip(self.ends).filter(|(_, count)| *count > 0) {
+        for ((_, name), count) in OUTCOMES.iter().zip(counters.ends).filter(|(_, count)| *count > 0) {
             write!(f, " {name}={count}")?;
         }
-        let Counters { opened, reused, stale, no_descriptor, probes, .. } = self;
+        let Counts { opened, reused, stale, no_descriptor } = connections;
         write!(
             f,
             "; connections opened={opened} reused={reused} stale={stale} no_descriptor={no_descriptor}"
         )?;
-        let Counters { probes_silent, probes_declined, probes_unread, .. } = self;
+        let Counters { probes, probes_silent, probes_declined, probes_unread, .. } = counters;
         write!(f, "; probes sent={probes} silent={probes_silent} declined={probes_declined}")?;
         write!(f, " unread={probes_unread}")
     }
@@ -109,9 +114,10 @@
         (counters.arrived, counters.refused) = (3, 1);
         counters.ended(Outcome::Reset);
         counters.ended(Outcome::Reset);
-        let line = counters.to_string();
+        let connections = Counts { reused: 7, ..Counts::default() };
+        let line = counters.told(&connections).to_string();
         assert!(line.contains("arrived=3 ") && line.contains("refused=1 "), "{line}");
-        assert!(line.contains("attempts reset=2;"), "{line}");
+        assert!(line.contains("attempts reset=2;") && line.contains("reused=7 "), "{line}");
         assert!(!counters.is_idle());
     }
 }
--- /dev/null
+++ b/crates/node/src/engine/intake.rs
@@ -0,0 +1,117 @@
+//! The seam towards fronts: a front hands each whole, checked request to the [`Intake`] and is given one final
+//! answer for it, whatever becomes of the request.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::Uri;
+use sagemast::api::{ClassId, Effect, RequestId, TenantId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use super::Happening;
+use super::message::{Final, Forward};
+
+/// What class and tenant names stand for.
+pub struct Names {
+    /// By class id.
+    pub classes: Vec<(String, Effect)>,
+    /// By tenant id.
+    pub tenants: Vec<String>,
+}
+
+impl Names {
+    /// The class that a path names.
+    pub fn class_of(&self, uri: &Uri) -> Option<usize> {
+        let first = uri.path().trim_start_matches('/').split('/').next()?;
+        self.classes.iter().position(|(name, _)| name == first)
+    }
+}
+
+/// A request that a front has read whole and found sound.
+pub struct Asked {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// When its last byte was read.
+    pub at: Instant,
+    /// How long its client waits from then on.
+    pub time_left: Duration,
+    /// Who sent it: the beginning of each log line about it, empty or with a space at its end.
+    pub who: Arc<str>,
+    /// What goes on to upstreams.
+    pub forward: Forward,
+}
+
+/// The same with what the engine needs to answer it.
+pub(super) struct Arrival {
+    pub request: RequestId,
+    pub asked: Asked,
+    pub reply: oneshot::Sender<Final>,
+}
+
+/// Where all fronts hand in their requests. Counters only: the engine alone owns state.
+pub struct Intake {
+    /// Names in requests.
+    pub names: Names,
+    /// Open client connections, over all fronts.
+    pub connections: AtomicUsize,
+    /// Whether there is a list of upstreams.
+    ready: AtomicBool,
+    /// Ids for the module: those of clients come from outside and might come twice.
+    next_id: AtomicU64,
+    happenings: mpsc::UnboundedSender<Happening>,
+}
+
+impl Intake {
+    pub(super) fn new(names: Names, happenings: mpsc::UnboundedSender<Happening>) -> Intake {
+        Intake {
+            names,
+            connections: AtomicUsize::new(0),
+            ready: AtomicBool::new(false),
+            // The module keeps timer 0 for itself and halves request ids into timers.
+            next_id: AtomicU64::new(2),
+            happenings,
+        }
+    }
+
+    /// Whether requests can be served: whether a list of upstreams has come.
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn make_ready(&self, ready: bool) {
+        self.ready.fetch_or(ready, Ordering::Relaxed);
+    }
+
+    /// Hands a request in and waits for its one final answer. Who drops this before has left: the engine hears of
+    /// it and gives the request up.
+    pub async fn ask(&self, asked: Asked) -> Final {
+        let request = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let (reply, answer) = oneshot::channel();
+        let mut guard = Guard { request, intake: self, answered: false };
+        let arrival = Arrival { request, asked, reply };
+        let _ = self.happenings.send(Happening::Arrived(Box::new(arrival)));
+        let answer = answer.await;
+        guard.answered = true;
+        // An engine that has ended answers nothing more, and promises nothing.
+        answer.unwrap_or(Final::Failed)
+    }
+}
+
+/// Tells the engine when the client goes away before its answer.
+struct Guard<'a> {
+    request: RequestId,
+    intake: &'a Intake,
+    answered: bool,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            let _ = self.intake.happenings.send(Happening::ClientLeft(self.request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/engine/list.rs
@@ -0,0 +1,109 @@
+//! The list of upstreams: names and ids, and what the module and the transport are told of them.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use sagemast::api::*;
+use tokio::time::Instant;
+
+use super::roster::{Entry, List};
+use super::transport::Peer;
+use super::{Engine, Server};
+
+/// The names of upstreams that are gone are forgotten when there are more than this many names.
+const NAMES: usize = 4_096;
+
+impl Engine {
+    /// Takes in a list or what changed in it; `restored`, it is the one held before a restart.
+    pub(super) fn listed(&mut self, list: List, restored: bool) {
+        self.version = list.version;
+        let whole = list.whole || restored;
+        let mut listings: Vec<Listing> = list.entries.iter().map(|entry| self.update(entry)).collect();
+        if whole {
+            // An entry that cannot be read is not missing: what was known of its host stands.
+            let unread = list.unread.iter().filter_map(|name| self.names.get(name));
+            listings
+                .extend(unread.filter_map(|id| self.servers.get(id)).map(|server| server.listing.clone()));
+            let named: HashSet<UpstreamId> = listings.iter().map(|listing| listing.upstream).collect();
+            for (id, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                if server.listing.lifecycle == Lifecycle::Serving {
+                    server.listing.lifecycle = Lifecycle::Leaving;
+                    self.transport.met(*id, server.peer());
+                }
+            }
+        }
+        if self.names.len() > NAMES {
+            self.forget();
+        }
+        self.intake.make_ready(!listings.is_empty() || (whole && !restored));
+        self.event(Event::Listed(match (restored, whole) {
+            (true, _) => ListNews::Restored(listings),
+            (false, true) => ListNews::Complete(listings),
+            (false, false) => ListNews::Changed(listings),
+        }));
+    }
+
+    /// Takes in what the roster says of one upstream, in the module's terms.
+    fn update(&mut self, entry: &Entry) -> Listing {
+        let id = match self.names.get(&entry.host) {
+            Some(id) => *id,
+            None => {
+                self.next_upstream += 1;
+                self.names.insert(entry.host.clone(), UpstreamId(self.next_upstream));
+                UpstreamId(self.next_upstream)
+            }
+        };
+        let known = self.servers.get(&id).filter(|server| server.started_ms == entry.started_ms);
+        // A start in the future, by another machine's clock, is one just now.
+        let started = match known {
+            Some(server) => server.listing.started,
+            None => (entry.started_ms > 0.0)
+                .then(|| (entry.started_ms - self.epoch_unix_ms).min(self.millis(Instant::now()))),
+        };
+        let listing = Listing {
+            upstream: id,
+            zone: ZoneId(self.settings.zone_named(&entry.zone)),
+            cell: CellId(entry.cell),
+            kind: KindId(self.settings.kind_named(&entry.kind)),
+            lifecycle: if entry.serving { Lifecycle::Serving } else { Lifecycle::Leaving },
+            weight: entry.weight,
+            started,
+        };
+        let server = self.servers.entry(id).or_insert_with(|| Server {
+            host: Arc::from(entry.host.as_str()),
+            listing: listing.clone(),
+            dial: entry.dial,
+            started_ms: entry.started_ms,
+            life: 0,
+        });
+        // Connections to another address or another life lead nowhere, or to the wrong process.
+        if server.dial != entry.dial || server.started_ms != entry.started_ms {
+            server.life += 1;
+        }
+        (server.dial, server.started_ms, server.listing) = (entry.dial, entry.started_ms, listing.clone());
+        self.transport.met(id, server.peer());
+        listing
+    }
+
+    /// Forgets upstreams that are gone, so that names do not pile up.
+    fn forget(&mut self) {
+        let busy: HashSet<UpstreamId> = self.sent.values().map(|sent| sent.upstream).collect();
+        let transport = &self.transport;
+        self.servers.retain(|id, server| {
+            let kept = server.listing.lifecycle == Lifecycle::Serving || busy.contains(id);
+            if !kept {
+                transport.lost(*id);
+            }
+            kept
+        });
+        self.names.retain(|_, id| self.servers.contains_key(id));
+    }
+}
+
+impl Server {
+    /// What a transport must know of it.
+    fn peer(&self) -> Peer {
+        let serving = self.listing.lifecycle == Lifecycle::Serving;
+        Peer { host: self.host.clone(), dial: self.dial, life: self.life, serving }
+    }
+}
--- /dev/null
+++ b/crates/node/src/engine/mod.rs
@@ -0,0 +1,533 @@
+//! The engine: owns the module, turns what happens into its events and carries out its actions in order.
+//!
+//! It names three seams and knows nothing of what lies behind them: the [`Intake`] that fronts hand requests to,
+//! the [`Transport`] that carries attempts, and the [`Roster`] that lists come from.
+
+mod attempts;
+mod counters;
+mod intake;
+mod list;
+mod message;
+mod roster;
+mod transport;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use anyhow::Result;
+use sagemast::Balancer;
+use sagemast::api::*;
+use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use crate::capture::{About, Capture, line::Named};
+use crate::log;
+use crate::module_settings::module_settings;
+use crate::operator::Capture as CaptureSettings;
+use counters::Counters;
+use intake::Arrival;
+
+pub use intake::{Asked, Intake, Names};
+pub use message::{Answer, BODY_BYTES, End, Final, Forward, end_to_end};
+pub use roster::{Entry, Following, List, News, Roster};
+pub use transport::{Attempt, Counts, Flight, Peer, Reports, Transport};
+
+/// The module is told this much less than the client waits: its last word must reach the client in time.
+const IN_HAND: Duration = Duration::from_millis(8);
+/// What the module has not ended by then, the engine does.
+const BACKSTOP: Duration = Duration::from_millis(4);
+/// How often a line tells what was done.
+const REPORT: Duration = Duration::from_secs(5);
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_millis(500);
+/// Something that the engine is told.
+enum Happening {
+    /// A request came in.
+    Arrived(Box<Arrival>),
+    /// Its client went away.
+    ClientLeft(RequestId),
+    /// An attempt ended.
+    Ended { flight: Flight, end: End },
+    /// A probe ended, with what came back.
+    Probed { upstream: UpstreamId, answer: Option<Answer> },
+    /// The roster told something.
+    Listed(List),
+    /// The roster failed and can be followed again from this version.
+    RosterFailed { version: u64 },
+    /// The list comes from elsewhere now.
+    Moved(Box<dyn Roster>),
+    /// The operators want to see the capture.
+    Dump,
+}
+
+/// The way to an engine, for whoever wires it to its surroundings.
+pub struct Ways {
+    /// For fronts.
+    pub intake: Arc<Intake>,
+    /// For transports.
+    pub reports: Reports,
+    /// For rosters.
+    pub news: News,
+    /// For the operators.
+    pub orders: Orders,
+    /// For the engine itself.
+    pub inbox: Inbox,
+}
+
+impl Ways {
+    /// The ways to one engine.
+    pub fn new(names: Names) -> Ways {
+        let (happenings, inbox) = mpsc::unbounded_channel();
+        Ways {
+            intake: Arc::new(Intake::new(names, happenings.clone())),
+            reports: Reports(happenings.clone()),
+            news: News(happenings.clone()),
+            orders: Orders(happenings),
+            inbox: Inbox(inbox),
+        }
+    }
+}
+
+/// What an engine hears from.
+pub struct Inbox(mpsc::UnboundedReceiver<Happening>);
+
+#[cfg(test)]
+impl Inbox {
+    /// What a transport under test tells.
+    pub(crate) fn seen(self) -> Seen {
+        Seen(self.0)
+    }
+}
+
+/// The ends that a transport under test has told.
+#[cfg(test)]
+pub(crate) struct Seen(mpsc::UnboundedReceiver<Happening>);
+
+#[cfg(test)]
+impl Seen {
+    /// The next end.
+    pub(crate) async fn end(&mut self) -> (RequestId, Outcome) {
+        match self.0.recv().await {
+            Some(Happening::Ended { flight, end: End::Outcome(outcome, _) | End::Broken(outcome, _) }) => {
+                (flight.request, outcome)
+            }
+            _ => panic!("no attempt has ended"),
+        }
+    }
+
+    /// Whether nothing more can come.
+    pub(crate) async fn is_over(&mut self) -> bool {
+        self.0.recv().await.is_none()
+    }
+}
+
+/// What the operators may ask of a running engine.
+#[derive(Clone)]
+pub struct Orders(mpsc::UnboundedSender<Happening>);
+
+impl Orders {
+    /// Follows another roster from now on.
+    pub fn follow(&self, roster: Box<dyn Roster>) {
+        let _ = self.0.send(Happening::Moved(roster));
+    }
+
+    /// Writes the capture to the log.
+    pub fn dump(&self) {
+        let _ = self.0.send(Happening::Dump);
+    }
+}
+
+/// A send that has not ended.
+struct Sent {
+    upstream: UpstreamId,
+    forward: Arc<Forward>,
+    at: Instant,
+    /// Dropped or used to give it up; `None` once that was done.
+    give_up: Option<oneshot::Sender<()>>,
+}
+
+/// A request without its final answer.
+struct Open {
+    forward: Arc<Forward>,
+    who: Arc<str>,
+    reply: oneshot::Sender<Final>,
+    sends: u32,
+    at: Instant,
+    deadline: Instant,
+    timer: (Instant, u64),
+    /// How its attempts have ended, for the log.
+    trail: String,
+    /// Lives as long as this does, for transports to see.
+    lease: Arc<()>,
+}
+
+/// An upstream that the roster named.
+struct Server {
+    host: Arc<str>,
+    listing: Listing,
+    dial: SocketAddr,
+    started_ms: f64,
+    life: u64,
+}
+
+impl Server {
+    /// It, as the capture names it.
+    fn named(&self) -> Named<'static> {
+        Named {
+            upstream: self.listing.upstream,
+            host: self.host.to_string().into(),
+            dial: self.dial.to_string().into(),
+        }
+    }
+}
+
+enum Timer {
+    Wake(u64),
+    Backstop(RequestId),
+    Sweep,
+    Report,
+}
+
+/// The engine.
+pub struct Engine {
+    module: Balancer,
+    settings: SettingsObject,
+    columns: Vec<Column>,
+    subscribed: bool,
+    intake: Arc<Intake>,
+    inbox: mpsc::UnboundedReceiver<Happening>,
+    transport: Box<dyn Transport>,
+    roster: Box<dyn Roster>,
+    version: u64,
+    following: Option<Following>,
+    epoch: Instant,
+    /// Unix time at the epoch, in milliseconds.
+    epoch_unix_ms: f64,
+    open: HashMap<RequestId, Open>,
+    sent: BTreeMap<(RequestId, AttemptNo), Sent>,
+    names: HashMap<String, UpstreamId>,
+    servers: BTreeMap<UpstreamId, Server>,
+    next_upstream: u64,
+    timers: BTreeMap<(Instant, u64), Timer>,
+    next_timer: u64,
+    actions: Vec<Action>,
+    counters: Counters,
+    capture: Option<Capture>,
+}
+
+/// What lies behind an engine's seams.
+pub struct Surroundings {
+    /// Where requests come in.
+    pub intake: Arc<Intake>,
+    /// What the engine is told.
+    pub inbox: Inbox,
+    /// How upstreams are asked.
+    pub transport: Box<dyn Transport>,
+    /// Where the list comes from.
+    pub roster: Box<dyn Roster>,
+}
+
+impl Engine {
+    /// An engine that knows the settings and nothing else.
+    pub fn new(
+        settings: SettingsObject,
+        seed: u64,
+        surroundings: Surroundings,
+        capture: Option<&CaptureSettings>,
+    ) -> Result<Engine> {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let epoch_unix_ms = unix.map_or(0.0, |since| since.as_secs_f64() * 1e3);
+        let told = module_settings(&settings);
+        let classes = || settings.class_names().map(str::to_owned).collect();
+        let capture =
+            capture.map(|capture| Capture::start(capture, classes(), seed, epoch_unix_ms)).transpose()?;
+        let Surroundings { intake, inbox, transport, roster } = surroundings;
+        Ok(Engine {
+            subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
+            module: Balancer::new(told, seed),
+            columns: settings.columns(),
+            intake,
+            inbox: inbox.0,
+            transport,
+            roster,
+            version: 0,
+            following: None,
+            epoch: Instant::now(),
+            epoch_unix_ms,
+            open: HashMap::new(),
+            sent: BTreeMap::new(),
+            names: HashMap::new(),
+            servers: BTreeMap::new(),
+            next_upstream: 1,
+            timers: BTreeMap::new(),
+            next_timer: 0,
+            actions: Vec::new(),
+            counters: Counters::default(),
+            capture,
+            settings,
+        })
+    }
+
+    /// Runs for good.
+    pub async fn run(mut self, known: Option<List>) {
+        self.listed(known.unwrap_or_default(), true);
+        if !self.subscribed {
+            self.follow();
+        }
+        self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
+        self.set_timer(Instant::now() + REPORT, Timer::Report);
+        loop {
+            let due = self.timers.keys().next().map(|key| key.0);
+            tokio::select! {
+                biased;
+                happening = self.inbox.recv() => match happening {
+                    Some(happening) => self.happened(happening),
+                    None => return,
+                },
+                () = sleep_until(due.unwrap_or_else(|| Instant::now() + SWEEP)) => {}
+            }
+            self.fire();
+        }
+    }
+
+    /// Follows the roster: for good where news come by themselves, else until it fails.
+    fn follow(&mut self) {
+        self.following = Some(self.roster.follow(self.version, !self.subscribed));
+    }
+
+    /// The module's clock.
+    fn millis(&self, at: Instant) -> Millis {
+        at.saturating_duration_since(self.epoch).as_secs_f64() * 1e3
+    }
+
+    fn set_timer(&mut self, at: Instant, timer: Timer) -> (Instant, u64) {
+        self.next_timer += 1;
+        let key = (at, self.next_timer);
+        self.timers.insert(key, timer);
+        key
+    }
+
+    /// Fires the timers that are due.
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
+            match entry.remove() {
+                Timer::Wake(token) => self.event(Event::Woke(token)),
+                Timer::Backstop(request) => {
+                    // The module answers in time unless it is at fault or the process was held up.
+                    let forward = self.open.get(&request).map(|open| open.forward.clone());
+                    self.counters.overdue += u32::from(forward.is_some());
+                    self.finish(request, Final::Failed);
+                    self.leave(request, forward.as_deref(), "overdue");
+                }
+                Timer::Sweep => {
+                    self.transport.sweep();
+                    self.capture.iter_mut().for_each(Capture::save);
+                    self.set_timer(now + SWEEP, Timer::Sweep);
+                }
+                Timer::Report => {
+                    self.report();
+                    self.set_timer(now + REPORT, Timer::Report);
+                }
+            }
+        }
+    }
+
+    /// Tells what was done since the last such line.
+    fn report(&mut self) {
+        let counters = std::mem::take(&mut self.counters);
+        let connections = self.transport.counts();
+        if !counters.is_idle() {
+            let clients = self.intake.connections.load(Ordering::Relaxed);
+            let (open, out, idle) = (self.open.len(), self.sent.len(), self.transport.idle());
+            let told = counters.told(&connections);
+            log::rare(format!("{told}; now open={open} out={out} clients={clients} idle={idle}"));
+        }
+    }
+
+    /// Hands an event to the module and does what it says.
+    fn event(&mut self, event: Event) {
+        self.event_of(event, None, None);
+    }
+
+    /// The same for an event about a request; `why` is for the capture.
+    fn event_of(&mut self, event: Event, request: Option<&Forward>, why: Option<&'static str>) {
+        let now = self.millis(Instant::now());
+        let mut actions = std::mem::take(&mut self.actions);
+        let kept = self.capture.is_some().then(|| event.clone());
+        self.module.handle(now, event, &mut actions);
+        if let Some(event) = kept {
+            self.keep(now, event, &actions, request, why);
+        }
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    /// Adds an event to the capture.
+    fn keep(
+        &mut self,
+        now: Millis,
+        event: Event,
+        did: &[Action],
+        request: Option<&Forward>,
+        why: Option<&'static str>,
+    ) {
+        let (Some(capture), servers) = (&mut self.capture, &self.servers) else { return };
+        let classes = &self.intake.names;
+        let class = request.and_then(|request| classes.class_of(&request.target));
+        let listed = match &event {
+            Event::Listed(ListNews::Restored(list) | ListNews::Complete(list) | ListNews::Changed(list)) => {
+                &list[..]
+            }
+            _ => &[],
+        };
+        let about = About {
+            id: request.map(Forward::id),
+            class: class.map(|class| classes.classes[class].0.as_str()),
+            timeout_ms: request.and_then(Forward::timeout_ms),
+            why,
+            hosts: listed
+                .iter()
+                .filter_map(|listing| servers.get(&listing.upstream))
+                .map(Server::named)
+                .collect(),
+        };
+        let name = |id| servers.get(&id).map(|server| &*server.host);
+        capture.record(&self.module, (now, event), did, about, name, || {
+            servers.values().map(Server::named).collect()
+        });
+    }
+
+    fn happened(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrived(arrival) => self.arrived(*arrival),
+            Happening::ClientLeft(request) => {
+                let open = self.open.remove(&request);
+                if let Some(open) = &open {
+                    self.counters.left += 1;
+                    self.timers.remove(&open.timer);
+                }
+                self.leave(request, open.as_ref().map(|open| &*open.forward), "its client left");
+            }
+            Happening::Ended { flight, end } => self.ended(flight, end),
+            Happening::Probed { upstream, answer } => {
+                let status = answer.as_ref().map(|answer| answer.status.as_u16());
+                let answered = status == Some(200);
+                let text = answer.filter(|_| answered);
+                let text = text.as_ref().and_then(|answer| std::str::from_utf8(&answer.body).ok());
+                let report = text.and_then(|text| report_from_text(&self.columns, text));
+                self.counters.probe_ended(status, report.is_some());
+                self.event(Event::Probed { upstream, answered, report });
+            }
+            Happening::Listed(list) => self.listed(list, false),
+            Happening::RosterFailed { version } => {
+                self.version = version;
+                self.event(Event::Listed(ListNews::Unavailable));
+            }
+            Happening::Moved(roster) => {
+                self.roster = roster;
+                // What was followed so far ends soon, and tells nothing more by then. Where it has ended already
+                // it is the module's to ask for again.
+                if self.following.as_ref().is_some_and(|following| !following.has_ended()) {
+                    self.follow();
+                }
+            }
+            Happening::Dump => match &self.capture {
+                Some(capture) => capture.dump(),
+                None => log::line("SIGUSR1: capture is off"),
+            },
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let Arrival { request, asked, reply } = arrival;
+        let Asked { class, tenant, at, time_left, who, forward } = asked;
+        let deadline = at + time_left.saturating_sub(IN_HAND);
+        let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
+        self.counters.arrived += 1;
+        let (forward, trail) = (Arc::new(forward), String::new());
+        let kept = forward.clone();
+        let lease = Arc::new(());
+        let open = Open { forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
+        self.open.insert(request, open);
+        let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
+        self.event_of(Event::Arrived { request, class, tenant, time_left }, Some(&kept), None);
+    }
+
+    /// Tells the module that a request is over without it, and ends what is out for it.
+    fn leave(&mut self, request: RequestId, forward: Option<&Forward>, why: &'static str) {
+        self.event_of(Event::Abandoned(request), forward, Some(why));
+        self.give_up_all(request);
+    }
+
+    fn give_up_all(&mut self, request: RequestId) {
+        let first = (request, AttemptNo(0));
+        for (_, sent) in self.sent.range_mut(first..=(request, AttemptNo(u32::MAX))) {
+            sent.give_up = None;
+        }
+    }
+
+    /// Answers a request, if it is still owed one.
+    fn finish(&mut self, request: RequestId, answer: Final) -> bool {
+        let Some(open) = self.open.remove(&request) else { return false };
+        self.timers.remove(&open.timer);
+        match &answer {
+            Final::Served(..) => self.counters.served += 1,
+            Final::Refused(_) => self.counters.refused += 1,
+            Final::Failed => self.counters.failed += 1,
+        }
+        if !matches!(answer, Final::Served(..)) {
+            self.counters.unsent += u32::from(open.sends == 0);
+            log::line(open.obituary(&answer));
+        }
+        // The client may have gone in this very moment.
+        open.reply.send(answer).is_ok()
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, upstream, timeout } => self.send(request, upstream, timeout),
+            Action::Cancel { request, attempt } => {
+                if let Some(sent) = self.sent.get_mut(&(request, attempt)) {
+                    sent.give_up = None;
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                self.finish(request, Final::Refused(retry_after));
+            }
+            Action::Fail(request) => {
+                self.finish(request, Final::Failed);
+            }
+            Action::Probe(upstream) => self.probe(upstream),
+            Action::WakeAt { at, token } => {
+                let after = Duration::try_from_secs_f64(at / 1e3).unwrap_or_default();
+                let at = self.epoch.checked_add(after).unwrap_or_else(Instant::now);
+                self.set_timer(at, Timer::Wake(token));
+            }
+            Action::Subscribe => self.follow(),
+            Action::Log { about, text } => {
+                let open = about.and_then(|request| self.open.get(&request));
+                log::rare(open.map_or(text.clone(), |open| format!("{}{text}", open.who)));
+            }
+        }
+    }
+}
+
+impl Open {
+    /// The line about a request that was not served.
+    fn obituary(&self, answer: &Final) -> String {
+        let (who, id) = (&self.who, self.forward.id());
+        let path = self.forward.target.path();
+        let end = if matches!(answer, Final::Failed) { "failed" } else { "refused" };
+        let after = self.at.elapsed().as_millis();
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let trail = if self.trail.is_empty() { " no attempt" } else { &self.trail };
+        format!("{who}request {id} {path}: {end} after {after} ms, {left} ms left;{trail}")
+    }
+}
--- /dev/null
+++ b/crates/node/src/engine/transport.rs
@@ -0,0 +1,113 @@
+//! The seam towards transports: the engine says which attempt goes to whom, and a transport carries it over
+//! connections of its own and reports exactly one end for it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Weak};
+
+use sagemast::api::{AttemptNo, RequestId, UpstreamId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use super::Happening;
+use super::message::{Answer, End, Forward};
+
+/// One attempt on its way.
+#[derive(Debug, Clone, Copy)]
+pub struct Flight {
+    /// The request.
+    pub request: RequestId,
+    /// Which of its sends.
+    pub attempt: AttemptNo,
+    /// Where to.
+    pub upstream: UpstreamId,
+    /// When the attempt is given up.
+    pub until: Instant,
+}
+
+/// An attempt for a transport to carry.
+pub struct Attempt {
+    /// Which it is.
+    pub flight: Flight,
+    /// What goes to the upstream.
+    pub forward: Arc<Forward>,
+    /// Dropped or used when the engine gives the attempt up.
+    pub given_up: oneshot::Receiver<()>,
+    /// Alive until the request has its final answer: what is not written by then must not be.
+    pub open: Weak<()>,
+}
+
+impl Attempt {
+    /// Whether the engine gave it up.
+    pub fn is_given_up(&mut self) -> bool {
+        !matches!(self.given_up.try_recv(), Err(oneshot::error::TryRecvError::Empty))
+    }
+
+    /// Whether the request is still owed an answer and the attempt was not given up.
+    pub fn is_wanted(&mut self) -> bool {
+        !self.is_given_up() && self.open.strong_count() > 0
+    }
+}
+
+/// What a transport must know of an upstream.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Its name, for the log.
+    pub host: Arc<str>,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// Which of its lives: connections do not outlast one.
+    pub life: u64,
+    /// Whether it takes new work. To one that does not, nothing is written that is not yet on its way.
+    pub serving: bool,
+}
+
+/// What a transport has done since it was last asked.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Counts {
+    /// Connections opened, for attempts and probes.
+    pub opened: u32,
+    /// Attempts and probes over an idle connection.
+    pub reused: u32,
+    /// Idle connections that turned out to be closed when used.
+    pub stale: u32,
+    /// Attempts and probes that found no descriptor left.
+    pub no_descriptor: u32,
+}
+
+/// Carries attempts and probes to upstreams by one protocol.
+///
+/// Nothing here waits: what takes time goes on in tasks of the transport's own, which tell the engine by the
+/// [`Reports`] that the transport was made with. Each attempt gets exactly one end, also one for an upstream that
+/// the transport was never told of.
+pub trait Transport: Send {
+    /// What is known of an upstream is new or has changed.
+    fn met(&self, upstream: UpstreamId, peer: Peer);
+    /// An upstream is forgotten.
+    fn lost(&self, upstream: UpstreamId);
+    /// Carries an attempt.
+    fn attempt(&self, attempt: Attempt);
+    /// Asks an upstream for its load until then.
+    fn probe(&self, upstream: UpstreamId, until: Instant);
+    /// Closes what has been idle for too long.
+    fn sweep(&self);
+    /// What was done since this was last asked.
+    fn counts(&self) -> Counts;
+    /// Connections that carry nothing now.
+    fn idle(&self) -> usize;
+}
+
+/// Where a transport tells what became of attempts and probes.
+#[derive(Clone)]
+pub struct Reports(pub(super) mpsc::UnboundedSender<Happening>);
+
+impl Reports {
+    /// An attempt has ended.
+    pub fn ended(&self, flight: Flight, end: End) {
+        let _ = self.0.send(Happening::Ended { flight, end });
+    }
+
+    /// A probe has ended, with what came back.
+    pub fn probed(&self, upstream: UpstreamId, answer: Option<Answer>) {
+        let _ = self.0.send(Happening::Probed { upstream, answer });
+    }
+}
--- a/crates/node/src/address_lists.rs
+++ b/crates/node/src/fronts/address_lists.rs
@@ -9,7 +9,7 @@
 use ppp::{PartialResult, v1, v2};
 use tokio::io::{AsyncRead, AsyncReadExt};
 
-use super::operator::AddressLists as Settings;
+use crate::operator::AddressLists as Settings;
 
 /// The longest header of version 1, its line end included.
 const V1_BYTES: usize = 107;
--- a/crates/node/src/client.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -4,14 +4,14 @@
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
@@ -19,17 +19,17 @@
 use sagemast::api::*;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, join};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::ServerConfig;
 
+use super::Phase;
 use super::address_lists::{AddressLists, Client};
-use super::driver::Happening;
-use super::figures::{Figures, InFlight};
-use super::log;
 use super::tls::{self, Tls};
-use super::upstream::BODY_BYTES;
+use crate::engine::{Asked, BODY_BYTES, Final, Forward, Intake, Names, end_to_end};
+use crate::figures::{Figures, InFlight};
+use crate::log;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
 const BACKLOG: u32 = 4096;
@@ -49,51 +49,16 @@
 /// A longer time-out is absurd.
 const MAX_TIMEOUT_MS: u64 = 600_000;
 
-/// How far the end has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Serving.
-    Open,
-    /// SIGTERM came: still accepting, but every answer closes its connection.
-    Leaving,
-    /// No client comes any more: only what is open is finished.
-    Closing,
-}
-
-/// What class and tenant names stand for.
-pub struct Names {
-    /// By class id.
-    pub classes: Vec<(String, Effect)>,
-    /// By tenant id.
-    pub tenants: Vec<String>,
-}
-
-impl Names {
-    /// The class that a path names.
-    pub fn class_of(&self, uri: &Uri) -> Option<usize> {
-        let first = uri.path().trim_start_matches('/').split('/').next()?;
-        self.classes.iter().position(|(name, _)| name == first)
-    }
-}
-
-/// What all client connections share. Counters only: the driver alone owns state.
+/// What all client connections share.
 pub struct Front {
-    /// Names in requests.
-    pub names: Names,
-    /// Whether `/up` says so.
-    pub ready: AtomicBool,
+    /// Where requests go.
+    intake: Arc<Intake>,
     /// How far the end has come.
-    pub phase: watch::Receiver<Phase>,
-    /// To the driver.
-    pub happenings: mpsc::UnboundedSender<Happening>,
-    /// Ids for the module: those of clients come from outside and might come twice.
-    next_id: AtomicU64,
-    /// Open client connections.
-    pub connections: AtomicUsize,
+    phase: watch::Receiver<Phase>,
     /// Whom to serve, where the operators say so.
-    pub lists: Option<AddressLists>,
+    lists: Option<AddressLists>,
     /// Where requests are counted, if they are.
-    pub figures: Option<Arc<Figures>>,
+    figures: Option<Arc<Figures>>,
 }
 
 /// Who is at the other end of a connection, as far as the operators' features tell.
@@ -121,86 +86,20 @@
     }
 }
 
-/// A request as it goes on to upstreams.
-pub struct Forward {
-    /// Method.
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub target: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// The body, unchanged.
-    pub body: Bytes,
-}
-
-impl Forward {
-    /// The client's id of the request.
-    pub fn id(&self) -> &str {
-        self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("?")
-    }
-
-    /// How long its client said that it waits.
-    pub fn timeout_ms(&self) -> Option<u64> {
-        self.headers.get("x-timeout-ms")?.to_str().ok()?.trim().parse().ok()
-    }
-}
-
-/// A request for the driver.
-pub struct Arrival {
-    /// The id the module knows it by.
-    pub request: RequestId,
-    /// Its class.
-    pub class: ClassId,
-    /// Its tenant.
-    pub tenant: TenantId,
-    /// When its last byte was read.
-    pub at: Instant,
-    /// How long its client waits from then on.
-    pub time_left: Duration,
-    /// Who sent it.
-    pub who: Arc<Who>,
-    /// What goes on to upstreams.
-    pub forward: Forward,
-    /// Where its final answer goes.
-    pub reply: oneshot::Sender<Final>,
-}
-
-/// A final answer.
-#[derive(Debug)]
-pub enum Final {
-    /// An upstream's answer.
-    Served(HeaderMap, Bytes),
-    /// Trying again is harmless, best after this long.
-    Refused(Millis),
-    /// No promise.
-    Failed,
-}
-
 impl Front {
-    /// A front that is not ready yet.
+    /// A front that hands its requests to this intake.
     pub fn new(
-        names: Names,
+        intake: Arc<Intake>,
         phase: watch::Receiver<Phase>,
-        happenings: mpsc::UnboundedSender<Happening>,
         lists: Option<AddressLists>,
         figures: Option<Arc<Figures>>,
     ) -> Front {
-        Front {
-            names,
-            ready: AtomicBool::new(false),
-            phase,
-            happenings,
-            // The module keeps timer 0 for itself and halves request ids into timers.
-            next_id: AtomicU64::new(2),
-            connections: AtomicUsize::new(0),
-            lists,
-            figures,
-        }
+        Front { intake, phase, lists, figures }
     }
 
     /// Counts a request in that has come as far as its head.
     fn begin(&self, uri: &Uri) -> Option<InFlight> {
-        Some(self.figures.as_ref()?.begin(self.names.class_of(uri)))
+        Some(self.figures.as_ref()?.begin(self.intake.names.class_of(uri)))
     }
 
     /// Whether a peer is closed unread: one whose own address decides, and is not admitted.
@@ -255,12 +154,12 @@
                 log::line(format!("connection from client={} is denied", peer.ip().to_canonical()));
             }
             Ok((stream, peer, handshake)) => {
-                front.connections.fetch_add(1, Ordering::Relaxed);
+                front.intake.connections.fetch_add(1, Ordering::Relaxed);
                 let crowded = permits.available_permits() * 4 < max_connections;
                 let front = front.clone();
                 tokio::spawn(async move {
                     welcome(stream, peer, handshake, &front, crowded).await;
-                    front.connections.fetch_sub(1, Ordering::Relaxed);
+                    front.intake.connections.fetch_sub(1, Ordering::Relaxed);
                     drop(permit);
                 });
             }
@@ -277,7 +176,7 @@
     if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
         return;
     }
-    while front.connections.load(Ordering::Relaxed) > 0 {
+    while front.intake.connections.load(Ordering::Relaxed) > 0 {
         sleep(Duration::from_millis(5)).await;
     }
 }
@@ -350,13 +249,14 @@
     let mut phase = front.phase.clone();
     let now = *phase.borrow_and_update();
     let heard = AtomicBool::new(false);
+    let shown: Arc<str> = who.to_string().into();
     let service = service_fn(|request| {
         let is_first = !heard.swap(true, Ordering::Relaxed);
         let by = if is_first { opened } else { Instant::now() } + REQUEST_TIME;
-        let (front, who) = (front.clone(), who.clone());
+        let (front, who, shown) = (front.clone(), who.clone(), shown.clone());
         async move {
             let mut in_flight = front.begin(request.uri());
-            let mut response = handle(request, &front, who, by, &mut in_flight).await;
+            let mut response = handle(request, &front, &who, shown, by, &mut in_flight).await;
             if let Some(in_flight) = in_flight {
                 in_flight.answered(response.status().as_u16());
             }
@@ -421,33 +321,19 @@
     (error.is_parse() && !error.is_parse_version_h2()).then_some(status.as_u16())
 }
 
-/// Tells the driver when the client goes away before its answer.
-struct Guard<'a> {
-    request: RequestId,
-    front: &'a Front,
-    answered: bool,
-}
-
-impl Drop for Guard<'_> {
-    fn drop(&mut self) {
-        if !self.answered {
-            let _ = self.front.happenings.send(Happening::ClientLeft(self.request));
-        }
-    }
-}
-
 /// What is wrong with a request.
 type Malformed = (StatusCode, &'static str);
 
 async fn handle(
     request: Request<Incoming>,
     front: &Front,
-    who: Arc<Who>,
+    who: &Who,
+    shown: Arc<str>,
     by: Instant,
     in_flight: &mut Option<InFlight>,
 ) -> Response<Full<Bytes>> {
     if request.uri().path() == "/up" {
-        let up = front.ready.load(Ordering::Relaxed);
+        let up = front.intake.is_ready();
         return match (request.method() == Method::GET, up) {
             (false, _) => plain(StatusCode::METHOD_NOT_ALLOWED, "use GET"),
             (true, true) => plain(StatusCode::OK, "up"),
@@ -458,7 +344,7 @@
         // A front may look after us in its own name, but a request needs an address to be audited by.
         return plain(StatusCode::FORBIDDEN, "no client address");
     }
-    let (class, tenant, time_left) = match check(&request, &front.names) {
+    let (class, tenant, time_left) = match check(&request, &front.intake.names) {
         Ok(checked) => checked,
         Err((status, reason)) => return plain(status, reason),
     };
@@ -477,21 +363,15 @@
     }
     // A client may name the whole URL; upstreams are asked for the path in any case.
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
-    let request = RequestId(front.next_id.fetch_add(1, Ordering::Relaxed));
-    let (reply, answer) = oneshot::channel();
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
-    let arrival = Arrival { request, class, tenant, at, time_left, who, forward, reply };
-    let mut guard = Guard { request, front, answered: false };
-    let _ = front.happenings.send(Happening::Arrived(Box::new(arrival)));
-    let answer = answer.await;
-    guard.answered = true;
-    match answer {
-        Ok(Final::Served(headers, body)) => {
+    let asked = Asked { class, tenant, at, time_left, who: shown, forward };
+    match front.intake.ask(asked).await {
+        Final::Served(headers, body) => {
             let mut response = Response::new(Full::new(body));
             *response.headers_mut() = headers;
             response
         }
-        Ok(Final::Refused(retry_after)) => {
+        Final::Refused(retry_after) => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
             let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after / 1_000.0));
             if let (Ok(seconds), true) = (seconds, retry_after > 0.0) {
@@ -499,7 +379,7 @@
             }
             response
         }
-        Ok(Final::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed"),
+        Final::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
 
@@ -560,35 +440,6 @@
     }
 }
 
-/// The headers that are not about one connection or its framing.
-pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
-    const OF_CONNECTION: [HeaderName; 9] = [
-        header::CONNECTION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-    ];
-    let named: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
-    let mut kept = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let of_connection = OF_CONNECTION.contains(name) || name == "keep-alive";
-        if !of_connection && !named.iter().any(|n| n == name.as_str()) {
-            kept.append(name, value.clone());
-        }
-    }
-    kept
-}
-
 fn plain(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
--- a/crates/node/src/tls.rs
+++ b/crates/node/src/fronts/tls.rs
@@ -19,8 +19,8 @@
 use x509_parser::objects::{oid_registry, oid2abbrev};
 use x509_parser::prelude::{FromDer, X509Certificate, X509Name};
 
-use super::log;
-use super::operator::{Tls as Settings, Version};
+use crate::log;
+use crate::operator::{Tls as Settings, Version};
 
 /// Certificates and keys are smaller; a file that is not must not fill the memory.
 const FILE_BYTES: u64 = 1 << 20;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,17 +1,18 @@
-//! The sidecar on real sockets. One thread; the driver alone owns the module, and everything else tells it
-//! what happened through a channel.
+//! The sidecar on real sockets. One thread; the engine alone owns the module, and everything else tells it what
+//! happened through a channel.
+//!
+//! [`engine`] names the seams: an [`engine::Intake`] for those who ask, a [`engine::Transport`] to those who are
+//! asked and a [`engine::Roster`] for the list of them. What lies behind them does not know of each other.
 
-pub mod address_lists;
 pub mod capture;
-pub mod client;
 pub mod config;
-pub mod counted;
-pub mod counters;
-pub mod discovery;
-pub mod driver;
+pub mod engine;
 pub mod figures;
+pub mod fronts;
 pub mod log;
+pub mod module_settings;
 pub mod operator;
 pub mod output;
-pub mod tls;
-pub mod upstream;
+pub mod replay;
+pub mod rosters;
+pub mod transports;
--- a/crates/node/src/capture/replay.rs
+++ b/crates/node/src/replay.rs
@@ -9,9 +9,9 @@
 use sagemast::Balancer;
 use sagemast::api::*;
 
-use super::super::config::Config;
-use super::super::driver::module_settings;
-use super::line::{Line, Module, What};
+use crate::capture::line::{Line, Module, What};
+use crate::config::Config;
+use crate::module_settings::module_settings;
 
 /// What a replay came to.
 #[derive(Debug, Default, PartialEq)]
@@ -253,8 +253,8 @@
 
 #[cfg(test)]
 pub(crate) mod tests {
-    use super::super::tests::{Stage, classes, settings, small};
     use super::*;
+    use crate::capture::tests::{Stage, classes, settings, small};
 
     /// Replays files with these texts; the tally and the differences.
     pub fn of(files: &[&str], settings: Settings) -> (Tally, Vec<String>) {
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -1,4 +1,4 @@
-//! The discovery watch: reads the list of upstreams and its changes, and tells the driver.
+//! The platform's discovery: reads the list of upstreams and its changes, and tells the engine.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,12 +11,10 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::driver::Happening;
-use super::log;
+use crate::engine::{Entry, Following, List, News, Roster};
+use crate::log;
 
 /// An empty line comes every 2 s; after this long without a byte the watch is dead. What it would have told
 /// counts as told 6 s after discovery knew it, so there is no time to wait for more.
@@ -83,8 +81,18 @@
 }
 
 impl HostList {
+    /// The list in the engine's terms. Entries that cannot be read are logged and left out.
+    pub fn list(&self) -> List {
+        List {
+            version: self.seq,
+            whole: self.whole,
+            entries: self.entries().into_iter().map(Host::entry).collect(),
+            unread: self.unread_names().map(str::to_owned).collect(),
+        }
+    }
+
     /// The entries that can be read; the others are logged.
-    pub fn entries(&self) -> Vec<Host> {
+    fn entries(&self) -> Vec<Host> {
         let read = |entry: &serde_json::Value| match Host::deserialize(entry) {
             Ok(host) if host.share.is_finite() && host.born_ms.is_finite() => Some(host),
             Ok(host) => {
@@ -98,16 +106,29 @@
         };
         self.hosts.iter().filter_map(read).collect()
     }
-}
 
-impl HostList {
     /// The hosts whose entries cannot be read, as far as their names can.
-    pub fn unread_names(&self) -> impl Iterator<Item = &str> {
+    fn unread_names(&self) -> impl Iterator<Item = &str> {
         let unread = |entry: &&serde_json::Value| Host::deserialize(*entry).is_err();
         self.hosts.iter().filter(unread).filter_map(|entry| entry.get("host")?.as_str())
     }
 }
 
+impl Host {
+    fn entry(self) -> Entry {
+        Entry {
+            host: self.host,
+            dial: self.dial,
+            zone: self.site,
+            kind: self.class,
+            cell: self.block,
+            serving: self.health == Health::Ready,
+            weight: self.share,
+            started_ms: self.born_ms,
+        }
+    }
+}
+
 /// Cuts a stream into lines, however it is chunked.
 #[derive(Default)]
 struct Lines {
@@ -136,21 +157,34 @@
     }
 }
 
-/// Where watches start from and what they tell.
-pub struct Watch {
-    /// Discovery's address.
+/// Discovery at an address.
+pub struct Source {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Where its news go.
+    pub news: News,
+}
+
+impl Roster for Source {
+    fn follow(&self, from: u64, for_good: bool) -> Following {
+        let watch = Watch { address: self.address, seq: from, news: self.news.clone(), missed: false };
+        Following(if for_good { tokio::spawn(watch.keep()) } else { tokio::spawn(watch.ask()) })
+    }
+}
+
+/// Where a watch starts from and what it tells.
+struct Watch {
+    address: SocketAddr,
     /// The version that the sidecar has.
-    pub seq: u64,
-    /// To the driver.
-    pub news: mpsc::UnboundedSender<Happening>,
+    seq: u64,
+    news: News,
     /// Whether a line could not be read.
-    pub missed: bool,
+    missed: bool,
 }
 
 impl Watch {
     /// Watches for good, for settings under which news come by themselves.
-    pub async fn keep(mut self) {
+    async fn keep(mut self) {
         let mut wait = BACK_OFF[0];
         loop {
             let before = self.seq;
@@ -163,10 +197,10 @@
     }
 
     /// Watches once, for settings under which the module asks; it hears of the end and asks again.
-    pub async fn ask(mut self) {
+    async fn ask(mut self) {
         let Err(end) = self.once().await;
         log::line(format!("discovery: {end:#}"));
-        let _ = self.news.send(Happening::DiscoveryFailed { seq: self.seq });
+        self.news.failed(self.seq);
     }
 
     async fn once(&mut self) -> Result<std::convert::Infallible> {
@@ -175,7 +209,7 @@
             .context("connecting took too long")?
             .context("cannot connect")?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let _connection = AbortOnDrop(tokio::spawn(async move {
+        let _connection = Following(tokio::spawn(async move {
             let _ = connection.await;
         }));
         let request = Request::get(format!("/discovery/hosts?watch=1&from={}", self.seq))
@@ -209,7 +243,9 @@
         match serde_json::from_slice::<HostList>(line) {
             Ok(list) => {
                 self.seq = list.seq;
-                self.news.send(Happening::Listed(list)).context("the driver has ended")?;
+                if !self.news.listed(list.list()) {
+                    bail!("the engine has ended");
+                }
             }
             // What the line said is missed: only the whole list can make up for it.
             Err(error) => {
@@ -222,15 +258,6 @@
     }
 }
 
-/// A task that ends with its owner.
-pub struct AbortOnDrop(pub JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/node/src/rosters/mod.rs
@@ -0,0 +1,3 @@
+//! Where the list of upstreams comes from. Each source implements [`crate::engine::Roster`].
+
+pub mod discovery;
