Let the module heed routes, and give the program a command line to check and explain them

Routes are only worth checking if they are in force. Each route becomes a class of the module for each class of the platform that can come to it; the module bounds sends and the whole in time, counts attempts and resends apart, keeps pauses, spends budgets by route and of all, and sends second copies after a fixed time or at a learnt percentile, always within what the class allows. The command line goes over to clap: run, check, explain, replay with routes, completions, a manual page; the old calls go on working. A sidecar does not start by a file that is refused.

--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -1,14 +1,17 @@
-//! The sidecar: one program on real sockets round the decision module of the library.
+//! The program: its command line, its signals, and the wiring of the sidecar.
 
-use std::ffi::OsString;
-use std::io::{BufWriter, Write};
+mod cli;
+mod routes_commands;
+
+use std::io::{BufWriter, StdoutLock, Write};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
+use clap::Parser;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -27,66 +30,51 @@
 use node::rosters::discovery::{self, HostList};
 use node::transports::http1::{self, Http1};
 
+use cli::{Cli, Command, Replay};
+
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
 /// After the longest deadline and this, SIGKILL is close.
 const LAST_MARGIN: Duration = Duration::from_millis(640);
 
 fn main() -> ExitCode {
-    let args = || std::env::args_os().skip(1);
-    // A replay that could not be carried out must not look like one that found differences.
-    let trouble = if args().next().is_some_and(|first| first == "replay") { 2 } else { 1 };
-    let done = Command::parse(args()).and_then(|command| match command {
-        Command::Serve(operator) => serve(operator.as_deref()).map(|()| ExitCode::SUCCESS),
-        Command::Replay(config, captures) => replay(&config, &captures),
-    });
+    let Cli { command, run } = Cli::parse();
+    let command = command.unwrap_or(Command::Run(run));
+    // What could not be carried out must not look like a replay that found differences.
+    let trouble = if matches!(command, Command::Run(_)) { 1 } else { 2 };
+    let mut out = std::io::stdout().lock();
+    let done = match command {
+        Command::Run(run) => {
+            drop(out);
+            serve(run.operator.as_deref()).map(|()| ExitCode::SUCCESS)
+        }
+        Command::Check(check) => routes_commands::check(&check, &mut out),
+        Command::Explain(explain) => routes_commands::explain(&explain, &mut out),
+        Command::Replay(call) => replay(&call, out),
+        Command::Completions { shell } => {
+            drop(out);
+            cli::completions(shell);
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Manual => {
+            drop(out);
+            cli::manual().context("cannot write").map(|()| ExitCode::SUCCESS)
+        }
+    };
     let code = done.unwrap_or_else(|error| {
-        log::line(format!("{error:#}"));
+        // All that is wrong with a file, a line each.
+        format!("{error:#}").lines().for_each(log::rare);
         ExitCode::from(trouble)
     });
     log::finish();
     code
 }
 
-/// How the program is called.
-const USAGE: &str =
-    "usage: harelock [--operator FILE], or harelock replay --config FILE --capture FILE [--capture FILE]...";
-
-/// What the command line asks for.
-enum Command {
-    /// Serve, with the operators' file if one is named.
-    Serve(Option<PathBuf>),
-    /// Replay captures under a configuration.
-    Replay(PathBuf, Vec<PathBuf>),
-}
-
-impl Command {
-    fn parse(args: impl Iterator<Item = OsString>) -> Result<Command> {
-        let mut args = args.peekable();
-        let replay = args.next_if(|first| first == "replay").is_some();
-        let (mut operator, mut config, mut captures) = (None, None, Vec::new());
-        while let Some(flag) = args.next() {
-            let value = PathBuf::from(args.next().context(USAGE)?);
-            match flag.to_str() {
-                Some("--operator") if !replay && operator.is_none() => operator = Some(value),
-                Some("--config") if replay && config.is_none() => config = Some(value),
-                Some("--capture") if replay => captures.push(value),
-                _ => bail!(USAGE),
-            }
-        }
-        match (replay, config) {
-            (false, _) => Ok(Command::Serve(operator)),
-            (true, Some(config)) if !captures.is_empty() => Ok(Command::Replay(config, captures)),
-            (true, _) => bail!(USAGE),
-        }
-    }
-}
-
 /// Replays captures. As with `diff`, the status tells whether there are differences.
-fn replay(config: &Path, captures: &[PathBuf]) -> Result<ExitCode> {
-    let mut out = BufWriter::new(std::io::stdout().lock());
+fn replay(call: &Replay, out: StdoutLock<'_>) -> Result<ExitCode> {
+    let mut out = BufWriter::new(out);
     let mut warn = std::io::stderr().lock();
-    let tally = replay::replay(config, captures, &mut out, &mut warn)?;
+    let tally = replay::replay(&call.config, call.operator.as_deref(), &call.captures, &mut out, &mut warn)?;
     out.flush().context("cannot write the differences")?;
     let Tally { events, differences, skipped, unread } = tally;
     writeln!(
@@ -147,7 +135,8 @@
     let roster = Box::new(discovery::Source { address: config.discovery, news: news.clone() });
     let surroundings = Surroundings { intake, inbox, transport, roster };
     let (clients, known) = (config.limits.clients(), config.known.as_ref().map(HostList::list));
-    let engine = Engine::new(config.settings, seed, surroundings, operator.capture.as_ref());
+    let table = operator.table(&config.settings)?;
+    let engine = Engine::new(config.settings, seed, table, surroundings, operator.capture.as_ref());
     let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
     let doors = Doors { plain: listener, tls };
     let serving = tokio::spawn(http::serve(doors, front, clients));
--- a/crates/node/src/capture/mod.rs
+++ b/crates/node/src/capture/mod.rs
@@ -292,7 +292,8 @@
     use super::*;
 
     pub fn settings() -> sagemast::api::Settings {
-        let class = |effect| Class { aim: 200.0, worth: 1.0, late_worth: 0.0, effect };
+        let class =
+            |effect| Class { aim: 200.0, worth: 1.0, late_worth: 0.0, effect, policy: Default::default() };
         sagemast::api::Settings {
             classes: vec![class(Effect::Repeatable), class(Effect::Once)],
             sidecars: 2,
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use anyhow::Result;
+use routes::Table;
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
@@ -28,6 +29,7 @@
 use crate::log;
 use crate::module_settings::module_settings;
 use crate::operator::Capture as CaptureSettings;
+use crate::routing::Routing;
 use counters::Counters;
 use intake::Arrival;
 
@@ -197,6 +199,7 @@
     module: Balancer,
     settings: SettingsObject,
     columns: Vec<Column>,
+    routing: Routing,
     subscribed: bool,
     intake: Arc<Intake>,
     inbox: mpsc::UnboundedReceiver<Happening>,
@@ -236,13 +239,14 @@
     pub fn new(
         settings: SettingsObject,
         seed: u64,
+        table: Table,
         surroundings: Surroundings,
         capture: Option<&CaptureSettings>,
     ) -> Result<Engine> {
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let epoch_unix_ms = unix.map_or(0.0, |since| since.as_secs_f64() * 1e3);
-        let told = module_settings(&settings);
-        let classes = || settings.class_names().map(str::to_owned).collect();
+        let (told, routing) = module_settings(&settings, table);
+        let classes = || routing.names().to_vec();
         let capture =
             capture.map(|capture| Capture::start(capture, classes(), seed, epoch_unix_ms)).transpose()?;
         let Surroundings { intake, inbox, transport, roster } = surroundings;
@@ -250,6 +254,7 @@
             subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
             module: Balancer::new(told, seed),
             columns: settings.columns(),
+            routing,
             intake,
             inbox: inbox.0,
             transport,
@@ -453,6 +458,7 @@
         self.counters.arrived += 1;
         let (forward, trail) = (Arc::new(forward), String::new());
         let kept = forward.clone();
+        let class = self.routing.class_of(class, kept.target.path(), &kept.headers);
         let lease = Arc::new(());
         let open = Open { forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
         self.open.insert(request, open);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod output;
 pub mod replay;
 pub mod rosters;
+pub mod routing;
 pub mod transports;
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,9 +6,13 @@
 
 use anyhow::{Context, Result, anyhow};
 use ipnet::IpNet;
-use serde::de::Error;
+use routes::{Refusal, Table};
+use sagemast::settings::Config;
+use serde::de::{Error, IgnoredAny};
 use serde::{Deserialize, Deserializer};
 
+use crate::routing::platform;
+
 /// The operators' file, a section a feature.
 #[derive(Deserialize, Default, Debug)]
 #[serde(deny_unknown_fields)]
@@ -16,6 +20,9 @@
     /// Where the settings come from.
     #[serde(skip)]
     file: PathBuf,
+    /// What stands there, for the routes.
+    #[serde(skip)]
+    text: String,
     /// Who may connect, and whose word on the client's address is taken.
     pub address_lists: Option<AddressLists>,
     /// Figures for a collector.
@@ -24,6 +31,8 @@
     pub capture: Option<Capture>,
     /// A port for applications on other hosts.
     pub tls: Option<Tls>,
+    /// Policies by route. Read and checked by the package for routes, which sees the text itself.
+    pub routes: Option<IgnoredAny>,
 }
 
 /// Settings of the address lists.
@@ -188,10 +197,23 @@
     pub fn read(path: Option<&Path>) -> Result<Operator> {
         let Some(path) = path else { return Ok(Operator::default()) };
         let shown = path.display();
-        let text = std::fs::read(path).with_context(|| format!("cannot read the operators' file {shown}"))?;
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("cannot read the operators' file {shown}"))?;
         let operator = Operator { file: path.to_owned(), ..Operator::default() };
-        let parsed = operator.blame(Operator::parse(&text))?;
-        Ok(Operator { file: operator.file, ..parsed })
+        let parsed = operator.blame(Operator::parse(text.as_bytes()))?;
+        Ok(Operator { file: operator.file, text, ..parsed })
+    }
+
+    /// The routes that the file sets, checked against the platform. All that is wrong is told, a line each.
+    pub fn table(&self, settings: &Config) -> Result<Table> {
+        if self.routes.is_none() {
+            return Ok(Table::default());
+        }
+        let told = |refusals: Vec<Refusal>| {
+            let lines: Vec<String> = refusals.iter().map(Refusal::to_string).collect();
+            anyhow!("{}", lines.join("\n"))
+        };
+        self.blame(Table::read(&self.text, &platform(settings)).map_err(told))
     }
 
     /// Names the file in the error of a feature that cannot start by its settings.
--- a/crates/node/src/replay.rs
+++ b/crates/node/src/replay.rs
@@ -12,6 +12,7 @@
 use crate::capture::line::{Line, Module, What};
 use crate::config::Config;
 use crate::module_settings::module_settings;
+use crate::operator::Operator;
 
 /// What a replay came to.
 #[derive(Debug, Default, PartialEq)]
@@ -26,10 +27,12 @@
     pub unread: u64,
 }
 
-/// Replays captures, in the order given, under a platform's configuration. Differences go to `out`, a line each,
+/// Replays captures, in the order given, under a platform's configuration and the routes of an operators' file.
+/// Differences go to `out`, a line each,
 /// and warnings to `warn`.
 pub fn replay(
     config: &Path,
+    operator: Option<&Path>,
     captures: &[PathBuf],
     out: &mut dyn Write,
     warn: &mut dyn Write,
@@ -37,8 +40,9 @@
     let text = std::fs::read(config).with_context(|| format!("cannot read {}", config.display()))?;
     let config =
         Config::parse(&text).with_context(|| format!("bad configuration in {}", config.display()))?;
-    let classes = config.settings.class_names().map(str::to_owned).collect();
-    let mut replay = Replay::new(module_settings(&config.settings), classes);
+    let operator = Operator::read(operator)?;
+    let (told, routing) = module_settings(&config.settings, operator.table(&config.settings)?);
+    let mut replay = Replay::new(told, routing.names().to_vec());
     for path in captures {
         let shown = path.display();
         let file = File::open(path).with_context(|| format!("cannot read {shown}"))?;
--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -4,6 +4,9 @@
 //! reads a clock and does no I/O: the sidecar turns what happens into [`Event`]s and carries out
 //! the [`Action`]s that come back.
 
+use routes::policy::{Budget, Failure, Policy};
+use routes::purse::Budgets;
+use routes::units::Share;
 use serde::{Deserialize, Serialize};
 
 /// Milliseconds: a point on the caller's clock, or a span.
@@ -79,6 +82,15 @@
     pub late_worth: f64,
     /// Whether it may run again.
     pub effect: Effect,
+    /// What its route sets beyond that; the module decides all that it leaves out.
+    pub policy: Policy,
+}
+
+impl Class {
+    /// How many retries and second copies its requests may have.
+    pub fn budgets(&self) -> Budgets {
+        [self.policy.retry_budget, self.policy.second_copy.map(|copy| copy.budget)]
+    }
 }
 
 /// A customer with a share of the service.
@@ -154,6 +166,21 @@
     pub sizes_listed: bool,
     /// How news of servers arrives.
     pub discovery: Discovery,
+    /// How many retries there may be over all classes; [`RETRIES`] where nothing is said.
+    pub retry_budget: Option<Budget>,
+    /// How many second copies; where nothing is said, as many as those of the classes come to.
+    pub copy_budget: Option<Budget>,
+}
+
+/// Further attempts that all requests may have together, where the operators say nothing: a share of first ones, and
+/// so many saved up.
+pub const RETRIES: Budget = Budget { share: Share(0.1), burst: 10 };
+
+impl Settings {
+    /// How many retries and second copies all requests may have together.
+    pub fn budgets(&self) -> Budgets {
+        [Some(self.retry_budget.unwrap_or(RETRIES)), self.copy_budget]
+    }
 }
 
 /// Whether a server takes new work.
@@ -239,6 +266,18 @@
 }
 
 impl Outcome {
+    /// What a route's policy calls it; nothing where the send did not fail by the server or the network.
+    pub fn failure(self) -> Option<Failure> {
+        match self {
+            Outcome::Full => Some(Failure::Full),
+            Outcome::Unreachable => Some(Failure::Unreachable),
+            Outcome::Error => Some(Failure::Error),
+            Outcome::TimedOut => Some(Failure::Timeout),
+            Outcome::Reset => Some(Failure::Reset),
+            Outcome::Ok | Outcome::Cancelled | Outcome::NotSent => None,
+        }
+    }
+
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NotSent)
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use oorandom::Rand64;
+use routes::purse::{Further, Purse};
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
@@ -70,9 +71,6 @@
 const PAIRS: usize = 4;
 /// What late answers taught of room fades over this time.
 const ROOM_FORGETS: Millis = 20_000.0;
-/// Further attempts, as a share of first ones, and how many may be saved up.
-const RETRY_SHARE: f64 = 0.1;
-const RETRY_BURST: f64 = 10.0;
 /// A refused client is asked to stay away for up to this share of its aim.
 const RETRY_AFTER: f64 = 0.3;
 /// An attempt is given at least this multiple of its expected time before another is tried.
@@ -94,8 +92,6 @@
 const SHUT_FOR: [Millis; 2] = [100.0, 1_600.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
-/// The grounds of a refusal are told this often at most.
-const EXPLAIN_EVERY: Millis = 1_000.0;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
 
@@ -106,18 +102,19 @@
     settings: Settings,
     #[serde(with = "crate::exact::rng")]
     rng: Rand64,
-    now: Millis,
+    pub(crate) now: Millis,
     requests: BTreeMap<RequestId, Held>,
-    fleet: Fleet,
-    seen: Learnt,
+    pub(crate) fleet: Fleet,
+    pub(crate) seen: Learnt,
 }
 
 impl Balancer {
     /// A module that knows nothing yet but its settings.
     pub fn new(settings: Settings, seed: u64) -> Balancer {
         // Until answers tell, a service time that leaves room for a queue and another try.
-        let service = settings.classes.iter().map(|class| Service::new(class.aim * SERVICE_PRIOR)).collect();
-        let seen = Learnt::new(service, settings.tenants.len(), RETRY_BURST);
+        let service = |class: &Class| Service::new(class.aim * SERVICE_PRIOR, Purse::full(class.budgets()));
+        let service = settings.classes.iter().map(service).collect();
+        let seen = Learnt::new(service, settings.tenants.len(), Purse::full(settings.budgets()));
         Balancer {
             settings,
             rng: Rand64::new(u128::from(seed)),
@@ -154,18 +151,20 @@
             Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report),
             Event::Listed(news) => self.listed(news, out),
             Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
-            Event::Woke(_) => {}
+            Event::Woke(token) => self.woke(RequestId(token / 2), token % 2 == 1, out),
         }
     }
 
-    fn arrived(&mut self, request: RequestId, held: Held, out: &mut Vec<Action>) {
+    fn arrived(&mut self, request: RequestId, mut held: Held, out: &mut Vec<Action>) {
         if self.requests.contains_key(&request) {
             return;
         }
-        if held.class.0 >= self.settings.classes.len() {
+        let Some(class) = self.settings.classes.get(held.class.0) else {
             return out.push(Action::Refuse { request, retry_after: 0.0 });
-        }
-        self.seen.retry_tokens = (self.seen.retry_tokens + RETRY_SHARE).min(RETRY_BURST);
+        };
+        held.deadline = held.deadline.min(held.arrived + class.policy.overall.map_or(f64::MAX, |all| all.0));
+        self.seen.service[held.class.0].purse.earn(class.budgets());
+        self.seen.purse.earn(self.settings.budgets());
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
@@ -259,45 +258,6 @@
         }
     }
 
-    /// Tells at most once a second on what grounds a request found no server.
-    fn explain(
-        &mut self,
-        request: RequestId,
-        held: &Held,
-        last: Option<[Candidate; 2]>,
-        out: &mut Vec<Action>,
-    ) {
-        if self.now < self.seen.explained_at + EXPLAIN_EVERY {
-            return;
-        }
-        self.seen.explained_at = self.now;
-        let seen = &self.seen;
-        let drawn = last.map_or("none".to_owned(), |pair| {
-            let told = |c: Candidate| {
-                format!("{} {:?} wait={:.0} depth={:.2}", c.id.0, c.pool, c.wait, c.depth).to_lowercase()
-            };
-            format!("[{}, {}]", told(pair[0]), told(pair[1]))
-        });
-        let [warm, cold, trial, waiting] =
-            [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].map(|pool| self.fleet.count(&[pool]));
-        let text = format!(
-            "request {} has no place: aim_left={:.0} room={:.0} tries={} warm={warm} cold={cold} \
-             trial={trial} ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} \
-             pace={:.2} kappa={:.2} others={:.1}",
-            request.0,
-            self.aim_left(held),
-            self.room(held) * self.aim_left(held),
-            held.tries.len(),
-            seen.service[held.class.0].time,
-            self.room_scale(),
-            seen.refused,
-            seen.fleet.pace,
-            seen.fleet.kappa(),
-            seen.others,
-        );
-        out.push(Action::Log { about: Some(request), text });
-    }
-
     /// Whether a cold server that was drawn may be sent one more. An equal part of its budget is less than
     /// one request for each of many sidecars, so chance decides: a server is drawn for at most two of `n`
     /// requests, and chance leaves it of those what its budget allows, for all sidecars together.
@@ -310,7 +270,7 @@
 
     /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
     /// to it.
-    fn room(&self, held: &Held) -> f64 {
+    pub(crate) fn room(&self, held: &Held) -> f64 {
         ROOM * self.favour(held)
     }
 
@@ -327,7 +287,7 @@
     }
 
     /// What was learnt of late answers fades: after a jam hardly any answers come to unlearn it by.
-    fn room_scale(&self) -> f64 {
+    pub(crate) fn room_scale(&self) -> f64 {
         faded(self.seen.room_scale, self.now - self.seen.room_at, ROOM_FORGETS)
     }
 
@@ -344,7 +304,7 @@
     }
 
     /// Time until the answer loses its worth.
-    fn aim_left(&self, held: &Held) -> Millis {
+    pub(crate) fn aim_left(&self, held: &Held) -> Millis {
         held.deadline.min(held.arrived + self.settings.classes[held.class.0].aim) - self.now
     }
 
@@ -447,6 +407,11 @@
         let timeout = self.timeout(held, to, others);
         let (class, attempt) = (held.class, AttemptNo(held.tries.len() as u32));
         let sent = self.now;
+        let may = self.settings.limits.duplicates && held.tries.is_empty();
+        if let Some(copy) = self.settings.classes[class.0].policy.second_copy.filter(|_| may) {
+            let after = copy.after.ms(self.seen.service[class.0].late);
+            out.push(Action::WakeAt { at: sent + after, token: 2 * request.0 + 1 });
+        }
         let Some(upstream) = self.fleet.get_mut(to.id) else { return };
         upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
         let this = Try::new(to.id, upstream, sent);
@@ -459,10 +424,12 @@
 
     /// Long enough for this attempt, short enough for another to make the aim.
     fn timeout(&self, held: &Held, to: Candidate, others: bool) -> Millis {
-        let left = (held.deadline - self.now).max(0.0);
         let class = &self.settings.classes[held.class.0];
+        let most = class.policy.attempt_timeout.map_or(f64::MAX, |most| most.0);
+        let left = (held.deadline - self.now).max(0.0).min(most);
         let last = held.tries.len() as u32 + 1 >= self.settings.limits.max_attempts;
-        if last || !others || class.effect == Effect::Once || self.seen.retry_tokens < 1.0 {
+        let retries = self.seen.purse.holds(Further::Retry, self.settings.budgets());
+        if last || !others || class.effect == Effect::Once || !retries {
             return left;
         }
         let spare = held.arrived + class.aim - self.now - RETRY_ROOM * self.seen.service[held.class.0].time;
@@ -484,14 +451,46 @@
         if end.closed || outcome == Outcome::Ok {
             return self.abandoned(request, out);
         }
-        let Some(held) = self.requests.get(&request) else { return };
-        let attempts_left = (held.tries.len() as u32) < self.settings.limits.max_attempts;
-        let worth_it = self.aim_left(held) > 0.0 && outcome != Outcome::NotSent;
-        if attempts_left && worth_it && self.seen.retry_tokens >= 1.0 {
-            self.seen.retry_tokens -= 1.0;
-            self.place(request, out);
-        } else {
-            self.give_up(request, out);
+        let no_copy_out = |held: &&Held| !held.tries.iter().any(|t| t.out);
+        let Some(held) = self.requests.get(&request).filter(no_copy_out) else { return };
+        let policy = &self.settings.classes[held.class.0].policy;
+        let (sends, ran) = (held.tries.len() as u32, held.tries.iter().filter(|t| t.may_have_run).count());
+        let attempts_left =
+            sends < self.settings.limits.max_attempts && policy.follows(outcome.failure(), sends, ran as u32);
+        let pause = policy.backoff.map_or(0.0, |backoff| backoff.pause_ms(sends, self.rng.rand_float()));
+        let worth_it = self.aim_left(held) > pause && outcome != Outcome::NotSent;
+        match attempts_left && worth_it && self.spend(held.class, Further::Retry) {
+            true if pause > 0.0 => out.push(Action::WakeAt { at: self.now + pause, token: 2 * request.0 }),
+            true => self.place(request, out),
+            false => self.give_up(request, out),
+        }
+    }
+
+    /// Takes one of the further sends that all requests together and those of the class may have.
+    fn spend(&mut self, class: ClassId, kind: Further) -> bool {
+        let (all, own) = (self.settings.budgets(), self.settings.classes[class.0].budgets());
+        let (shared, purse) = (&mut self.seen.purse, &mut self.seen.service[class.0].purse);
+        let may = shared.holds(kind, all) && purse.holds(kind, own);
+        if may {
+            shared.take(kind, all);
+            purse.take(kind, own);
+        }
+        may
+    }
+
+    /// A pause before another send is over, or it is time for a second copy.
+    fn woke(&mut self, request: RequestId, copy: bool, out: &mut Vec<Action>) {
+        let Some(held) = self.requests.get(&request).cloned() else { return };
+        match &held.tries[..] {
+            [.., _] if !copy && !held.tries.iter().any(|t| t.out) => self.place(request, out),
+            // Elsewhere or not at all: behind the first it would only wait as well.
+            [first] if copy && first.out && self.settings.limits.max_attempts > 1 => {
+                let to = self.choose(request, &held, out).filter(|to| to.id != first.upstream);
+                if let Some(to) = to.filter(|_| self.spend(held.class, Further::Copy)) {
+                    self.send(request, to, false, out);
+                }
+            }
+            _ => {}
         }
     }
 
@@ -581,6 +580,10 @@
         if answered && sent.to.depth <= 1.0 {
             service.add(alone, SMOOTH_ALL);
         }
+        let copy = self.settings.classes[sent.class.0].policy.second_copy.filter(|_| answered);
+        if let Some(share) = copy.and_then(|copy| copy.after.share()) {
+            service.late *= 1.0 + SMOOTH_ALL * (share - f64::from(u8::from(latency <= service.late)));
+        }
     }
 
     fn probed(&mut self, id: UpstreamId, answered: bool, report: Option<Report>) {
--- /dev/null
+++ b/crates/sagemast/src/explain.rs
@@ -0,0 +1,50 @@
+//! Tells the operators on what grounds a request found no server. Nothing is decided here.
+
+use crate::api::*;
+use crate::brain::Balancer;
+use crate::fleet::Pool;
+use crate::state::{Candidate, Held};
+
+/// The grounds of a refusal are told this often at most.
+const EXPLAIN_EVERY: Millis = 1_000.0;
+
+impl Balancer {
+    /// Tells at most once a second on what grounds a request found no server.
+    pub(crate) fn explain(
+        &mut self,
+        request: RequestId,
+        held: &Held,
+        last: Option<[Candidate; 2]>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.now < self.seen.explained_at + EXPLAIN_EVERY {
+            return;
+        }
+        self.seen.explained_at = self.now;
+        let seen = &self.seen;
+        let drawn = last.map_or("none".to_owned(), |pair| {
+            let told = |c: Candidate| {
+                format!("{} {:?} wait={:.0} depth={:.2}", c.id.0, c.pool, c.wait, c.depth).to_lowercase()
+            };
+            format!("[{}, {}]", told(pair[0]), told(pair[1]))
+        });
+        let [warm, cold, trial, waiting] =
+            [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].map(|pool| self.fleet.count(&[pool]));
+        let text = format!(
+            "request {} has no place: aim_left={:.0} room={:.0} tries={} warm={warm} cold={cold} \
+             trial={trial} ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} \
+             pace={:.2} kappa={:.2} others={:.1}",
+            request.0,
+            self.aim_left(held),
+            self.room(held) * self.aim_left(held),
+            held.tries.len(),
+            seen.service[held.class.0].time,
+            self.room_scale(),
+            seen.refused,
+            seen.fleet.pace,
+            seen.fleet.kappa(),
+            seen.others,
+        );
+        out.push(Action::Log { about: Some(request), text });
+    }
+}
--- a/crates/sagemast/src/lib.rs
+++ b/crates/sagemast/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod brain;
 mod exact;
+mod explain;
 mod fleet;
 pub mod settings;
 mod state;
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 
+use routes::policy::Policy;
 use serde::Deserialize;
 
 use crate::api::*;
@@ -157,6 +158,8 @@
                 Membership::Automatic => Discovery::Pushed,
                 Membership::Subscribe => Discovery::Subscribed { must_ask_in: self.invariants.must_ask_in },
             },
+            retry_budget: None,
+            copy_budget: None,
         }
     }
 
@@ -212,6 +215,11 @@
         number_of(&self.kinds, name)
     }
 
+    /// How long clients of each class wait, by class id.
+    pub fn client_limits_ms(&self) -> impl Iterator<Item = Millis> {
+        self.classes.iter().map(|class| class.hard_limit)
+    }
+
     /// The longest that any client waits, over all its tries.
     pub fn longest_deadline_ms(&self) -> Millis {
         self.classes.iter().map(|class| class.hard_limit).fold(0.0, f64::max)
@@ -254,6 +262,7 @@
                 WireEffect::ByKey => Effect::ByKey { scope, window: self.window },
                 WireEffect::Once => Effect::Once,
             },
+            policy: Policy::default(),
         }
     }
 }
--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use routes::purse::Purse;
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
@@ -71,11 +72,15 @@
     pub samples: f64,
     /// Share of its arrivals that was refused.
     pub refused: f64,
+    /// Retries and second copies that it has left.
+    pub purse: Purse,
+    /// The time after which an answer counts as late enough for a second copy.
+    pub late: Millis,
 }
 
 impl Service {
-    pub fn new(time: Millis) -> Service {
-        Service { time, samples: 0.0, refused: 0.0 }
+    pub fn new(time: Millis, purse: Purse) -> Service {
+        Service { time, samples: 0.0, refused: 0.0, purse, late: time }
     }
 
     /// Steps the median towards a sample, at first in larger steps.
@@ -140,7 +145,8 @@
     pub others: f64,
     /// Share of the arrivals that no server had room for.
     pub refused: f64,
-    pub retry_tokens: f64,
+    /// Retries and second copies that are left to all.
+    pub purse: Purse,
     /// Room shrinks to this share of the usual while answers are late, and when it was last learnt.
     pub room_scale: f64,
     pub room_at: Millis,
@@ -158,14 +164,14 @@
 }
 
 impl Learnt {
-    pub fn new(service: Vec<Service>, tenants: usize, retry_tokens: f64) -> Learnt {
+    pub fn new(service: Vec<Service>, tenants: usize, purse: Purse) -> Learnt {
         Learnt {
             service,
             kinds: BTreeMap::new(),
             fleet: Kind::default(),
             others: 0.0,
             refused: 0.0,
-            retry_tokens,
+            purse,
             room_scale: 1.0,
             room_at: NEVER,
             usual_density: None,
