Reread routes on SIGHUP, whole or not at all, and print the file's schema

Routes changed only by a restart, which costs connections and all that was learnt. SIGHUP now reads them again, beside the runtime's thread: a file that is refused leaves the old ones in force and says why, a good one holds for the requests that come from then on. A class that stays keeps its number, one in use is never changed, and places that nobody uses any more are used again; budgets and learnt figures go on under a route's name. The capture goes on with a checkpoint, and a replay passes over what was captured under other routes. A test over sockets reloads good and bad files by turns under load: every request has its answer, no bill goes out twice. harelock schema prints the JSON Schema from the types, held to the reader's keys by a test.

--- a/crates/harelock/src/cli.rs
+++ b/crates/harelock/src/cli.rs
@@ -30,6 +30,8 @@
     Check(Check),
     /// Tells which route a request takes and why, and when its sends may go out.
     Explain(Explain),
+    /// Prints the JSON Schema of the operators' file.
+    Schema,
     /// Feeds captured events to the module again and prints each decision that differs: 1 if some do.
     Replay(Replay),
     /// Prints the completions for a shell.
--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -1,11 +1,11 @@
 //! The program: its command line, its signals, and the wiring of the sidecar.
 
 mod cli;
-mod routes_commands;
+mod operator_commands;
 
 use std::io::{BufWriter, StdoutLock, Write};
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,8 @@
 use clap::Parser;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 
 use node::config::Config;
@@ -28,7 +29,9 @@
 use node::operator::{self, Operator};
 use node::replay::{self, Tally};
 use node::rosters::discovery::{self, HostList};
+use node::routing::platform;
 use node::transports::http1::{self, Http1};
+use routes::policy::Platform;
 
 use cli::{Cli, Command, Replay};
 
@@ -48,8 +51,9 @@
             drop(out);
             serve(run.operator.as_deref()).map(|()| ExitCode::SUCCESS)
         }
-        Command::Check(check) => routes_commands::check(&check, &mut out),
-        Command::Explain(explain) => routes_commands::explain(&explain, &mut out),
+        Command::Check(check) => operator_commands::check(&check, &mut out),
+        Command::Explain(explain) => operator_commands::explain(&explain, &mut out),
+        Command::Schema => operator_commands::schema(&mut out),
         Command::Replay(call) => replay(&call, out),
         Command::Completions { shell } => {
             drop(out);
@@ -88,20 +92,20 @@
     Ok(if differences == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
-fn serve(operator: Option<&Path>) -> Result<()> {
-    let operator = Operator::read(operator)?;
+fn serve(file: Option<&Path>) -> Result<()> {
+    let operator = Operator::read(file)?;
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    let end = runtime.block_on(sidecar(config, operator));
+    let end = runtime.block_on(sidecar(config, file.map(Path::to_owned), operator));
     // A look-up of a name that hangs must not hold up the end.
     runtime.shutdown_background();
     end
 }
 
-async fn sidecar(config: Config, mut operator: Operator) -> Result<()> {
+async fn sidecar(config: Config, file: Option<PathBuf>, mut operator: Operator) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
     let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
@@ -135,7 +139,11 @@
     let roster = Box::new(discovery::Source { address: config.discovery, news: news.clone() });
     let surroundings = Surroundings { intake, inbox, transport, roster };
     let (clients, known) = (config.limits.clients(), config.known.as_ref().map(HostList::list));
-    let table = operator.table(&config.settings)?;
+    let platform = platform(&config.settings);
+    let table = operator.table(&platform)?;
+    let asked = Arc::new(Notify::new());
+    let reread = Reread { orders: orders.clone(), news, operator: file, platform };
+    tokio::spawn(reread.run(asked.clone()));
     let engine = Engine::new(config.settings, seed, table, surroundings, operator.capture.as_ref());
     let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
     let doors = Doors { plain: listener, tls };
@@ -145,7 +153,7 @@
         tokio::select! {
             _ = terminate.recv() => break log::line("SIGTERM: finishing what is held"),
             _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
-            _ = hang_up.recv() => reread(&orders, &news),
+            _ = hang_up.recv() => asked.notify_one(),
             _ = dump.recv() => orders.dump(),
             // It never ends by itself. Without it nothing is answered: better to be started anew.
             _ = &mut engine => {
@@ -178,14 +186,44 @@
     Ok((listener, tls))
 }
 
-/// Reads the configuration again and tells the engine what may change while it runs. A file that cannot be used
-/// is no reason to stop serving by the one that could.
-fn reread(orders: &Orders, news: &News) {
-    match Config::from_env() {
-        Ok(config) => {
-            log::line(format!("SIGHUP: discovery is at {}", config.discovery));
-            orders.follow(Box::new(discovery::Source { address: config.discovery, news: news.clone() }));
+/// What SIGHUP reads again, and whom it tells.
+struct Reread {
+    orders: Orders,
+    news: News,
+    operator: Option<PathBuf>,
+    /// What routes are checked against. The platform's settings stay as they were at the start.
+    platform: Platform,
+}
+
+impl Reread {
+    /// Reads again whenever it is asked to, once for all that ask meanwhile.
+    async fn run(self, asked: Arc<Notify>) {
+        let this = Arc::new(self);
+        loop {
+            asked.notified().await;
+            let this = this.clone();
+            // Files may be slow, and the comparison of many routes takes its time: requests wait for neither.
+            let _ = spawn_blocking(move || this.once()).await;
+        }
+    }
+
+    /// Reads the files again and tells the engine what may change while it runs. A file that cannot be used is no
+    /// reason to stop serving by the one that could.
+    fn once(&self) {
+        match Operator::read(self.operator.as_deref()).and_then(|operator| operator.table(&self.platform)) {
+            Ok(table) => self.orders.reroute(table),
+            Err(error) => {
+                log::rare("SIGHUP: the routes stay as they were:");
+                format!("{error:#}").lines().for_each(log::rare);
+            }
+        }
+        match Config::from_env() {
+            Ok(config) => {
+                log::line(format!("SIGHUP: discovery is at {}", config.discovery));
+                let news = self.news.clone();
+                self.orders.follow(Box::new(discovery::Source { address: config.discovery, news }));
+            }
+            Err(error) => log::line(format!("SIGHUP: the configuration stays as it was: {error:#}")),
         }
-        Err(error) => log::line(format!("SIGHUP: the configuration stays as it was: {error:#}")),
     }
 }
--- a/crates/harelock/src/routes_commands.rs
+++ b/crates/harelock/src/operator_commands.rs
@@ -1,4 +1,4 @@
-//! `harelock check` and `harelock explain`: routes looked at without serving.
+//! `harelock check`, `explain` and `schema`: the operators' file looked at without serving.
 
 use std::io::Write;
 use std::path::Path;
@@ -79,6 +79,14 @@
     Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) })
 }
 
+/// The JSON Schema of the operators' file.
+pub fn schema(out: &mut dyn Write) -> Result<ExitCode> {
+    let schema = schemars::schema_for!(Operator);
+    serde_json::to_writer_pretty(&mut *out, &schema).context("cannot write")?;
+    writeln!(out)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Tells which route a request takes and why, and its schedule.
 pub fn explain(explain: &Explain, out: &mut dyn Write) -> Result<ExitCode> {
     let platform = read_platform(&explain.config)?;
--- a/crates/harelock/tests/command_line.rs
+++ b/crates/harelock/tests/command_line.rs
@@ -133,3 +133,14 @@
         assert!(["check", "explain", "replay"].iter().all(|command| out.contains(command)), "{out}");
     }
 }
+
+#[test]
+fn the_schema_names_every_section() {
+    let (code, out, _) = harelock(&["schema"]);
+    assert_eq!(code, Some(0));
+    let schema: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    let sections: Vec<&str> =
+        schema["properties"].as_object().expect("keys").keys().map(String::as_str).collect();
+    assert_eq!(sections, ["address_lists", "capture", "figures", "routes", "tls"]);
+    assert_eq!(schema["additionalProperties"], false);
+}
--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -349,6 +349,28 @@
         Sidecar::listening(spawn_with(config, Some(operator), None))
     }
 
+    /// The same, and where that file is.
+    pub fn operated_by(config: &str, operator: &str) -> (Sidecar, std::path::PathBuf) {
+        let operator = file(operator);
+        let path = file(config);
+        let child = Command::new(env!("CARGO_BIN_EXE_harelock"))
+            .arg("--operator")
+            .arg(&operator)
+            .env("ROUTER_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        (Sidecar::listening((child, path)), operator)
+    }
+
+    /// How many lines of its log hold all of these.
+    pub fn count(&self, parts: &[&str]) -> usize {
+        let log = self.log.lock().unwrap();
+        log.iter().filter(|line| parts.iter().all(|part| line.contains(part))).count()
+    }
+
     fn listening((mut child, path): (Child, std::path::PathBuf)) -> Sidecar {
         let mut errors = BufReader::new(child.stderr.take().unwrap());
         let log = Arc::new(Mutex::new(Vec::new()));
--- a/crates/harelock/tests/routes.rs
+++ b/crates/harelock/tests/routes.rs
@@ -3,7 +3,7 @@
 mod loopback;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use loopback::*;
 
@@ -89,3 +89,77 @@
         assert_eq!(count.load(Ordering::SeqCst) - before, sends, "{office}");
     }
 }
+
+/// Reloads under load, with a good and a bad file by turns: every request has exactly one answer, nothing goes out
+/// again against the rules, and the routes in force are those of the last good file.
+#[test]
+fn routes_are_reloaded_whole_or_not_at_all_while_requests_go_on() {
+    let turned = Arc::new(AtomicUsize::new(0));
+    let upstreams = [0; 3].map(|_| {
+        let turned = turned.clone();
+        // One of three breaks off without a word: it may have run.
+        Upstream::new(move |_| match turned.fetch_add(1, Ordering::SeqCst) % 3 {
+            0 => Deed::Close,
+            _ => Deed::ok("served"),
+        })
+    });
+    let all = upstreams.each_ref();
+    let known = ready(&all);
+    let discovery = Discovery::new(&known);
+    let good = |attempts: u32| {
+        format!(
+            r#"{{"routes": {{"table": [
+            {{"name": "fetches", "match": {{"class": "fetch"}}, "attempts": {attempts}, "attempt_timeout": "1s"}},
+            {{"name": "logs", "match": {{"class": "log"}}, "attempts": 2, "attempt_timeout": "1s"}}]}}}}"#
+        )
+    };
+    let bad = [
+        r#"{"routes": {"table": [{"name": "bills", "match": {"class": "bill"}, "attempts": 2, "attempt_timeout": "1s"}]}}"#,
+        r#"{"routes": {"table": [{"name": "fetches", "#,
+    ];
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, SETTINGS);
+    let (sidecar, operator) = Sidecar::operated_by(&text, &good(3));
+    sidecar.wait_up();
+    let address = sidecar.address;
+    let done = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = ["fetch", "log", "bill", "bill"]
+        .into_iter()
+        .map(|class| {
+            let done = done.clone();
+            std::thread::spawn(move || {
+                let mut client = Client::to(address);
+                let mut answers = 0;
+                while !done.load(Ordering::SeqCst) {
+                    client.ask(class);
+                    answers += 1;
+                }
+                answers
+            })
+        })
+        .collect();
+    for turn in 0..6 {
+        std::fs::write(&operator, bad[turn % 2]).expect("written");
+        let refused = sidecar.count(&["the routes stay as they were"]);
+        sidecar.signal("-HUP");
+        until("the bad file is refused", || sidecar.count(&["the routes stay as they were"]) > refused);
+        std::fs::write(&operator, good(2 + turn as u32 % 2)).expect("written");
+        let taken = sidecar.count(&["routes: 2 in force"]);
+        sidecar.signal("-HUP");
+        until("the good file is taken", || sidecar.count(&["routes: 2 in force"]) > taken);
+    }
+    done.store(true, Ordering::SeqCst);
+    // `ask` holds out for a whole answer, and none that comes twice could be told from the next one's.
+    let answers: usize = clients.into_iter().map(|client| client.join().expect("it ends")).sum();
+    let mut sent = std::collections::HashMap::<String, usize>::new();
+    let mut bills = std::collections::HashSet::new();
+    for message in reached(&all) {
+        let id = message.header("x-request-id").expect("an id").to_owned();
+        if message.line.contains(" /bill") {
+            assert!(bills.insert(id.clone()), "a bill was sent twice");
+        }
+        *sent.entry(id).or_default() += 1;
+    }
+    assert!(sent.len() > 50 && sent.len() <= answers, "{} requests, {answers} answers", sent.len());
+    assert!(sent.values().all(|sends| *sends <= 3), "no route has more attempts");
+    assert!(sent.values().any(|sends| *sends > 1), "some went out again");
+}
--- a/crates/node/src/capture/mod.rs
+++ b/crates/node/src/capture/mod.rs
@@ -156,6 +156,25 @@
         } else {
             self.too_long();
         }
+        self.checkpoint(module, at, all);
+    }
+
+    /// The module's classes have changed: a segment begins with a checkpoint under the new ones, from which a replay
+    /// can begin that knows them.
+    pub fn reroute<'a>(
+        &mut self,
+        module: &Balancer,
+        at: Millis,
+        classes: Vec<String>,
+        all: impl Fn() -> Vec<Named<'a>>,
+    ) {
+        self.classes = classes;
+        self.roll();
+        self.checkpoint(module, at, all);
+    }
+
+    /// Writes a checkpoint.
+    fn checkpoint<'a>(&mut self, module: &Balancer, at: Millis, all: impl Fn() -> Vec<Named<'a>>) {
         let classes = Cow::Owned(self.classes.clone());
         let what = What::Checkpoint { classes, module: line::Module::Live(module) };
         self.write(at, what, Vec::new(), About { hosts: all(), ..About::default() }, None);
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -62,6 +62,8 @@
     RosterFailed { version: u64 },
     /// The list comes from elsewhere now.
     Moved(Box<dyn Roster>),
+    /// Other routes are in force from now on.
+    Rerouted(Table),
     /// The operators want to see the capture.
     Dump,
 }
@@ -137,6 +139,11 @@
         let _ = self.0.send(Happening::Moved(roster));
     }
 
+    /// Lets other routes be in force for the requests to come; those under way end by the ones they began with.
+    pub fn reroute(&self, table: Table) {
+        let _ = self.0.send(Happening::Rerouted(table));
+    }
+
     /// Writes the capture to the log.
     pub fn dump(&self) {
         let _ = self.0.send(Happening::Dump);
@@ -443,6 +450,7 @@
                     self.follow();
                 }
             }
+            Happening::Rerouted(table) => self.reroute(table),
             Happening::Dump => match &self.capture {
                 Some(capture) => capture.dump(),
                 None => log::line("SIGUSR1: capture is off"),
@@ -450,6 +458,27 @@
         }
     }
 
+    /// Goes over to other routes.
+    fn reroute(&mut self, table: Table) {
+        let module = &mut self.module;
+        let change = self.routing.change(table, module.classes(), |class| module.uses(class));
+        let told = change.classes.len();
+        for (id, class, known) in change.classes {
+            module.put_class(id, class, known);
+        }
+        module.put_budgets(change.retry_budget, change.copy_budget);
+        log::rare(format!(
+            "routes: {} in force, {told} classes of them new or changed",
+            self.routing.count()
+        ));
+        let now = self.millis(Instant::now());
+        if let Some(capture) = &mut self.capture {
+            let servers = &self.servers;
+            let names = self.routing.names().to_vec();
+            capture.reroute(&self.module, now, names, || servers.values().map(Server::named).collect());
+        }
+    }
+
     fn arrived(&mut self, arrival: Arrival) {
         let Arrival { request, asked, reply } = arrival;
         let Asked { class, tenant, at, time_left, who, forward } = asked;
--- a/crates/node/src/module_settings.rs
+++ b/crates/node/src/module_settings.rs
@@ -12,6 +12,6 @@
     // The module keeps one tick in hand before a key's window ends, since in the simulator a send is on
     // its way at once. Here it may first have to connect.
     told.limits.tick = told.limits.tick.max(settings.connect_timeout_ms());
-    let routing = Routing::new(table, &platform(settings), &mut told);
+    let routing = Routing::new(table, platform(settings), &mut told);
     (told, routing)
 }
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -6,15 +6,14 @@
 
 use anyhow::{Context, Result, anyhow};
 use ipnet::IpNet;
+use routes::policy::Platform;
 use routes::{Refusal, Table};
-use sagemast::settings::Config;
+use schemars::JsonSchema;
 use serde::de::{Error, IgnoredAny};
 use serde::{Deserialize, Deserializer};
 
-use crate::routing::platform;
-
 /// The operators' file, a section a feature.
-#[derive(Deserialize, Default, Debug)]
+#[derive(Deserialize, JsonSchema, Default, Debug)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     /// Where the settings come from.
@@ -32,23 +31,27 @@
     /// A port for applications on other hosts.
     pub tls: Option<Tls>,
     /// Policies by route. Read and checked by the package for routes, which sees the text itself.
+    #[schemars(with = "Option<routes::schema::Section>")]
     pub routes: Option<IgnoredAny>,
 }
 
 /// Settings of the address lists.
-#[derive(Deserialize, Default, Debug)]
+#[derive(Deserialize, JsonSchema, Default, Debug)]
 #[serde(deny_unknown_fields, default)]
 pub struct AddressLists {
     /// Clients from these ranges only; none means from anywhere.
+    #[schemars(with = "Vec<String>")]
     pub allow: Vec<IpNet>,
     /// No clients from these, whatever `allow` says.
+    #[schemars(with = "Vec<String>")]
     pub deny: Vec<IpNet>,
     /// Peers that begin with a PROXY protocol header and are believed.
+    #[schemars(with = "Vec<String>")]
     pub proxy_trusted: Vec<IpNet>,
 }
 
 /// Settings of the figures.
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, JsonSchema, Debug)]
 #[serde(deny_unknown_fields, default)]
 pub struct Figures {
     /// How a line looks.
@@ -58,12 +61,15 @@
     /// A file that gets them.
     pub file: Option<PathBuf>,
     /// A collector that gets them.
+    #[schemars(with = "Option<String>")]
     pub udp: Option<Collector>,
     /// How often they are handed out.
     #[serde(deserialize_with = "within::<_, 10, 600_000>")]
+    #[schemars(range(min = 10, max = 600_000))]
     pub flush_ms: usize,
     /// How much is kept until then.
     #[serde(deserialize_with = "within::<_, 1, 16_384>")]
+    #[schemars(range(min = 1, max = 16_384))]
     pub buffer_kb: usize,
 }
 
@@ -75,19 +81,22 @@
 }
 
 /// Settings of the capture.
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, JsonSchema, Debug)]
 #[serde(deny_unknown_fields, default)]
 pub struct Capture {
     /// How much is held in memory.
     #[serde(deserialize_with = "within::<_, 16, 65_536>")]
+    #[schemars(range(min = 16, max = 65_536))]
     pub ring_kb: usize,
     /// Where files go; without one there are none.
     pub folder: Option<PathBuf>,
     /// How many files are kept.
     #[serde(deserialize_with = "within::<_, 1, 10_000>")]
+    #[schemars(range(min = 1, max = 10_000))]
     pub files: usize,
     /// How large one is at most.
     #[serde(deserialize_with = "within::<_, 8, 1_048_576>")]
+    #[schemars(range(min = 8, max = 1_048_576))]
     pub file_kb: usize,
 }
 
@@ -98,7 +107,7 @@
 }
 
 /// Settings of TLS. Without a port it is off.
-#[derive(Deserialize, Debug)]
+#[derive(Deserialize, JsonSchema, Debug)]
 #[serde(deny_unknown_fields, default)]
 pub struct Tls {
     /// The port, on the host of the plain one.
@@ -113,6 +122,7 @@
     pub client_ca_file: Option<PathBuf>,
     /// How often the files are read again.
     #[serde(deserialize_with = "within::<_, 1, 86_400>")]
+    #[schemars(range(min = 1, max = 86_400))]
     pub reload_s: usize,
 }
 
@@ -130,7 +140,7 @@
 }
 
 /// A version of TLS.
-#[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize, JsonSchema, Debug, Clone, Copy, PartialEq)]
 pub enum Version {
     /// 1.2.
     #[serde(rename = "1.2")]
@@ -141,7 +151,7 @@
 }
 
 /// How figures are written.
-#[derive(Deserialize, Debug, Clone, Copy, PartialEq)]
+#[derive(Deserialize, JsonSchema, Debug, Clone, Copy, PartialEq)]
 #[serde(rename_all = "snake_case")]
 pub enum Format {
     /// StatsD, with tags behind `#`.
@@ -205,7 +215,7 @@
     }
 
     /// The routes that the file sets, checked against the platform. All that is wrong is told, a line each.
-    pub fn table(&self, settings: &Config) -> Result<Table> {
+    pub fn table(&self, platform: &Platform) -> Result<Table> {
         if self.routes.is_none() {
             return Ok(Table::default());
         }
@@ -213,7 +223,7 @@
             let lines: Vec<String> = refusals.iter().map(Refusal::to_string).collect();
             anyhow!("{}", lines.join("\n"))
         };
-        self.blame(Table::read(&self.text, &platform(settings)).map_err(told))
+        self.blame(Table::read(&self.text, platform).map_err(told))
     }
 
     /// Names the file in the error of a feature that cannot start by its settings.
--- a/crates/node/src/replay.rs
+++ b/crates/node/src/replay.rs
@@ -13,6 +13,7 @@
 use crate::config::Config;
 use crate::module_settings::module_settings;
 use crate::operator::Operator;
+use crate::routing::platform;
 
 /// What a replay came to.
 #[derive(Debug, Default, PartialEq)]
@@ -41,7 +42,7 @@
     let config =
         Config::parse(&text).with_context(|| format!("bad configuration in {}", config.display()))?;
     let operator = Operator::read(operator)?;
-    let (told, routing) = module_settings(&config.settings, operator.table(&config.settings)?);
+    let (told, routing) = module_settings(&config.settings, operator.table(&platform(&config.settings))?);
     let mut replay = Replay::new(told, routing.names().to_vec());
     for path in captures {
         let shown = path.display();
@@ -113,8 +114,13 @@
         let seen = self.module.is_some() && line.n < self.next;
         match line.what {
             What::Start { .. } if seen && self.start == Some(line.n) => return Ok(()),
-            What::Start { seed, classes } => {
-                self.same_classes(&classes)?;
+            // Under other routes the module would decide otherwise: what follows is passed over.
+            What::Start { classes, .. } | What::Checkpoint { classes, .. }
+                if !self.same_routes(&classes)? =>
+            {
+                self.module = None;
+            }
+            What::Start { seed, .. } => {
                 self.module = Some(Balancer::new(self.settings.clone(), seed));
                 self.start = Some(line.n);
                 // Its ids begin anew.
@@ -124,8 +130,7 @@
             What::Checkpoint { .. } | What::Told { .. } if seen => return Ok(()),
             // What changed settings have led to goes on.
             What::Checkpoint { .. } if follows => {}
-            What::Checkpoint { classes, module } => {
-                self.same_classes(&classes)?;
+            What::Checkpoint { module, .. } => {
                 let Module::Read(module) = module else { return Ok(()) };
                 let resumed = module.resume(self.settings.clone());
                 self.module = Some(resumed.context("a checkpoint does not fit the configuration")?);
@@ -160,12 +165,16 @@
         Ok(())
     }
 
-    /// Classes are numbers to the module: under other names they would be other classes.
-    fn same_classes(&self, classes: &[String]) -> Result<()> {
-        if classes != self.classes {
+    /// Whether a capture was made under these routes. Classes are numbers to the module: under other names they
+    /// would be other classes, and with other classes of the platform nothing can be replayed at all.
+    fn same_routes(&self, classes: &[String]) -> Result<bool> {
+        let own = |names: &[String]| -> Vec<String> {
+            names.iter().filter(|name| !name.contains('/')).cloned().collect()
+        };
+        if own(classes) != own(&self.classes) {
             bail!("the capture has the classes {classes:?}, the configuration {:?}", self.classes);
         }
-        Ok(())
+        Ok(classes == self.classes)
     }
 
     /// Prints the decisions on one event that are not in both lists, those on the same matter side by side.
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -1,11 +1,11 @@
 //! Routes round the module: what the platform says to them, the classes that they become, and which of these a
 //! request is.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use hyper::HeaderMap;
 use routes::Table;
-use routes::policy::{Effect, Platform, PlatformClass};
+use routes::policy::{Budget, Effect, Platform, PlatformClass};
 use sagemast::api::{self, Class, ClassId, Settings};
 use sagemast::settings::Config;
 
@@ -30,38 +30,89 @@
 }
 
 /// The routes in force.
-#[derive(Default)]
 pub struct Routing {
+    platform: Platform,
     table: Table,
+    /// The platform's own classes as the module has them.
+    own: Vec<Class>,
     /// The module's class for a route and a class of the platform.
     ids: HashMap<(usize, usize), ClassId>,
     /// The module's classes by name: the platform's own, and behind them `class/route`.
     names: Vec<String>,
 }
 
+/// What changes in the module with the routes.
+pub struct Change {
+    /// Where a class goes, what it is, and which one it begins with the knowledge of.
+    pub classes: Vec<(ClassId, Class, ClassId)>,
+    /// The budgets of all.
+    pub retry_budget: Option<Budget>,
+    /// Likewise.
+    pub copy_budget: Option<Budget>,
+}
+
 impl Routing {
+    /// No routes yet, under a platform with these classes.
+    fn none(platform: Platform, own: Vec<Class>) -> Routing {
+        let names = platform.classes.iter().map(|class| class.name.clone()).collect();
+        Routing { platform, table: Table::default(), own, ids: HashMap::new(), names }
+    }
+
     /// Makes classes of routes: each route has one for each class of the platform that can come to it, behind the
     /// platform's own in the module's settings.
-    pub fn new(table: Table, platform: &Platform, settings: &mut Settings) -> Routing {
-        let mut routing = Routing {
-            names: platform.classes.iter().map(|class| class.name.clone()).collect(),
-            ..Routing::default()
-        };
+    pub fn new(table: Table, platform: Platform, settings: &mut Settings) -> Routing {
+        let mut routing = Routing::none(platform, settings.classes.clone());
+        let Change { classes, retry_budget, copy_budget } = routing.change(table, &[], |_| true);
+        settings.classes.extend(classes.into_iter().map(|(_, class, _)| class));
+        settings.retry_budget = retry_budget;
+        settings.copy_budget = copy_budget;
+        routing
+    }
+
+    /// Goes over to another table. A class that stays as it was keeps its place; one that changes, or is new, gets
+    /// the place of one that is gone and not in use, or one behind all others. `now` are the module's classes.
+    pub fn change(&mut self, table: Table, now: &[Class], uses: impl Fn(ClassId) -> bool) -> Change {
+        let mut ids = HashMap::new();
+        let mut wanted = Vec::new();
+        let held: HashMap<&str, ClassId> =
+            self.ids.values().map(|id| (self.names[id.0].as_str(), *id)).collect();
         for (place, route) in table.routes.iter().enumerate() {
-            for (index, class) in platform.classes.iter().enumerate() {
+            for (index, class) in self.platform.classes.iter().enumerate() {
                 if !route.matching.takes(index, class) {
                     continue;
                 }
-                let base = settings.classes[index].clone();
-                let worth = route.policy.worth.unwrap_or(base.worth);
-                routing.ids.insert((place, index), ClassId(settings.classes.len()));
-                routing.names.push(format!("{}/{}", class.name, route.name));
-                settings.classes.push(Class { worth, policy: route.policy.clone(), ..base });
+                let own = self.own[index].clone();
+                let worth = route.policy.worth.unwrap_or(own.worth);
+                let becomes = Class { worth, policy: route.policy.clone(), ..own };
+                let name = format!("{}/{}", class.name, route.name);
+                // A route's name is its identity, whatever it matches.
+                let before = held.get(name.as_str()).copied();
+                match before.filter(|id| now.get(id.0) == Some(&becomes)) {
+                    Some(id) => drop(ids.insert((place, index), id)),
+                    None => wanted.push(((place, index), name, becomes, before.unwrap_or(ClassId(index)))),
+                }
+            }
+        }
+        let kept: HashSet<ClassId> = ids.values().copied().collect();
+        // Whose knowledge another begins with must not be overwritten before it does.
+        let known: HashSet<ClassId> = wanted.iter().map(|(.., known)| *known).collect();
+        let gone = |id: &ClassId| !kept.contains(id) && !known.contains(id) && !uses(*id);
+        let places: Vec<ClassId> = (self.own.len()..self.names.len()).map(ClassId).filter(gone).collect();
+        let mut free = places.into_iter();
+        let mut classes = Vec::new();
+        for (key, name, class, known) in wanted {
+            let id = free.next().unwrap_or(ClassId(self.names.len()));
+            match self.names.get_mut(id.0) {
+                Some(place) => *place = name,
+                None => self.names.push(name),
             }
+            classes.push((id, class, known));
+            ids.insert(key, id);
         }
-        settings.retry_budget = table.retry_budget;
-        settings.copy_budget = table.copy_budget;
-        Routing { table, ..routing }
+        self.ids = ids;
+        let (retry_budget, copy_budget) = (table.retry_budget, table.copy_budget);
+        self.table = table;
+        Change { classes, retry_budget, copy_budget }
     }
 
     /// The module's class for a request of one of the platform's.
@@ -72,8 +123,100 @@
         found.and_then(|place| self.ids.get(&(place, class.0))).copied().unwrap_or(class)
     }
 
+    /// How many routes there are.
+    pub fn count(&self) -> usize {
+        self.table.routes.len()
+    }
+
     /// The module's classes by name.
     pub fn names(&self) -> &[String] {
         &self.names
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use sagemast::Balancer;
+
+    use super::*;
+
+    const CONFIG: &str = r#"{"classes":[
+        {"name":"bill","aim":600,"hard_limit":1500,"importance":3,"effect":"once"},
+        {"name":"fetch","aim":500,"hard_limit":6000,"importance":2,"effect":"repeatable"}],
+        "allowed":{"max_attempts":3,"connect_timeout":250},"peers_total":3,"membership_mode":"automatic",
+        "telemetry":{},"invariants":{"cold_share":0.1,"warm_up":2e4,"fall_multiple":2.5,"fall":1500}}"#;
+
+    /// A module under routes, each a name and its number of attempts.
+    struct Stage {
+        routing: Routing,
+        module: Balancer,
+    }
+
+    fn table(platform: &Platform, routes: &[(&str, u32)]) -> Table {
+        let route = |(name, attempts): &(&str, u32)| {
+            format!(
+                r#"{{"name": "{name}", "match": {{"path": "/fetch/{name}"}}, "attempts": {attempts},
+                "attempt_timeout": "1s"}}"#
+            )
+        };
+        let routes: Vec<String> = routes.iter().map(route).collect();
+        let text = format!(r#"{{"routes": {{"table": [{}]}}}}"#, routes.join(","));
+        Table::read(&text, platform).expect("they are sound")
+    }
+
+    impl Stage {
+        fn new(routes: &[(&str, u32)]) -> Stage {
+            let config: Config = serde_json::from_str(CONFIG).expect("settings");
+            let platform = platform(&config);
+            let mut settings = config.settings();
+            let routing = Routing::new(table(&platform, routes), platform, &mut settings);
+            Stage { routing, module: Balancer::new(settings, 7) }
+        }
+
+        fn change(&mut self, routes: &[(&str, u32)], busy: &[usize]) {
+            let table = table(&self.routing.platform, routes);
+            let change = self.routing.change(table, self.module.classes(), |class| busy.contains(&class.0));
+            change.classes.into_iter().for_each(|(id, class, known)| self.module.put_class(id, class, known));
+        }
+
+        /// The module's class for a path, and its attempts.
+        fn of(&self, path: &str) -> (usize, Option<u32>) {
+            let id = self.routing.class_of(ClassId(1), path, &HeaderMap::new());
+            (id.0, self.module.classes()[id.0].policy.attempts)
+        }
+    }
+
+    #[test]
+    fn a_path_of_no_route_has_the_platforms_class() {
+        let stage = Stage::new(&[("a", 1), ("b", 2)]);
+        assert_eq!(stage.of("/fetch/c"), (1, None));
+        assert_eq!((stage.of("/fetch/a").1, stage.of("/fetch/b").1), (Some(1), Some(2)));
+        assert_eq!(stage.routing.names().len(), stage.module.classes().len());
+    }
+
+    #[test]
+    fn what_stays_keeps_its_class_and_what_changes_leaves_one_in_use_alone() {
+        let mut stage = Stage::new(&[("a", 1), ("b", 2)]);
+        let (a, b) = (stage.of("/fetch/a").0, stage.of("/fetch/b").0);
+        stage.change(&[("b", 3), ("a", 1)], &[b]);
+        assert_eq!(stage.of("/fetch/a"), (a, Some(1)));
+        let (other, attempts) = stage.of("/fetch/b");
+        assert!(other != b && attempts == Some(3), "a request under way has the old class");
+        assert_eq!(stage.module.classes()[b].policy.attempts, Some(2));
+        assert_eq!(stage.routing.names().len(), stage.module.classes().len());
+    }
+
+    /// However often routes change, places that nobody uses any more are used again.
+    #[test]
+    fn classes_do_not_pile_up() {
+        let mut stage = Stage::new(&[("a", 1), ("b", 2)]);
+        for turn in 0..100 {
+            stage.change(&[("a", 1 + turn % 3), ("c", 1 + turn % 2)], &[]);
+            assert_eq!(stage.of("/fetch/a").1, Some(1 + turn % 3));
+            assert_eq!(stage.of("/fetch/b"), (1, None), "it is gone");
+        }
+        assert!(stage.module.classes().len() <= 10, "{} classes", stage.module.classes().len());
+        stage.change(&[], &[]);
+        assert_eq!(stage.of("/fetch/a"), (1, None));
+    }
+}
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod purse;
 mod read;
 pub mod schedule;
+pub mod schema;
 pub mod table;
 pub mod units;
 pub mod words;
--- a/crates/routes/src/purse.rs
+++ b/crates/routes/src/purse.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// The same under other budgets: what is left stays, as far as they allow, and what was not counted before
+    /// begins full.
+    pub fn within(self, before: Budgets, budgets: Budgets) -> Purse {
+        let mut purse = Purse::full(budgets);
+        for ((tokens, left), before) in purse.0.iter_mut().zip(self.0).zip(before) {
+            *tokens = before.map_or(*tokens, |_| tokens.min(left));
+        }
+        purse
+    }
+
     /// Whether there is enough for one more.
     pub fn holds(&self, kind: Further, budgets: Budgets) -> bool {
         budgets[kind as usize].is_none() || self.0[kind as usize] >= 1.0
@@ -53,6 +63,17 @@
     use super::*;
     use crate::units::Share;
 
+    #[test]
+    fn other_budgets_leave_what_was_saved() {
+        let budget = |burst| Some(Budget { share: Share(0.1), burst });
+        let mut purse = Purse::full([budget(4), None]);
+        (0..3).for_each(|_| purse.take(Further::Retry, [budget(4), None]));
+        let other = [budget(9), budget(2)];
+        let after = purse.within([budget(4), None], other);
+        assert_eq!(after, Purse([1.0, 2.0]), "one retry is left, and copies begin full");
+        assert_eq!(after.within(other, [budget(9), None]), Purse([1.0, 0.0]));
+    }
+
     #[test]
     fn a_purse_fills_up_to_its_burst_and_no_further() {
         let budgets = [Some(Budget { share: Share(0.25), burst: 2 }), None];
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -10,8 +10,8 @@
 use crate::policy::{Backoff, Budget, CopyAfter, Failure, Platform, Policy, SecondCopy};
 use crate::units::{Share, Span};
 
-/// A file has at most this many routes.
-const ROUTES: usize = 10_000;
+/// A file has at most this many routes: each is compared with each.
+const ROUTES: usize = 2_000;
 /// Pauses grow at most so fast.
 const FACTOR: f64 = 10.0;
 
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -99,11 +99,11 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Balancer {
     #[serde(skip)]
-    settings: Settings,
+    pub(crate) settings: Settings,
     #[serde(with = "crate::exact::rng")]
     rng: Rand64,
     pub(crate) now: Millis,
-    requests: BTreeMap<RequestId, Held>,
+    pub(crate) requests: BTreeMap<RequestId, Held>,
     pub(crate) fleet: Fleet,
     pub(crate) seen: Learnt,
 }
@@ -151,7 +151,7 @@
             Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report),
             Event::Listed(news) => self.listed(news, out),
             Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
-            Event::Woke(token) => self.woke(RequestId(token / 2), token % 2 == 1, out),
+            Event::Woke(token) => self.woke(RequestId(token >> 1), token & 1 == 1, out),
         }
     }
 
@@ -410,7 +410,7 @@
         let may = self.settings.limits.duplicates && held.tries.is_empty();
         if let Some(copy) = self.settings.classes[class.0].policy.second_copy.filter(|_| may) {
             let after = copy.after.ms(self.seen.service[class.0].late);
-            out.push(Action::WakeAt { at: sent + after, token: 2 * request.0 + 1 });
+            out.push(Action::WakeAt { at: sent + after, token: request.0 << 1 | 1 });
         }
         let Some(upstream) = self.fleet.get_mut(to.id) else { return };
         upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
@@ -460,7 +460,7 @@
         let pause = policy.backoff.map_or(0.0, |backoff| backoff.pause_ms(sends, self.rng.rand_float()));
         let worth_it = self.aim_left(held) > pause && outcome != Outcome::NotSent;
         match attempts_left && worth_it && self.spend(held.class, Further::Retry) {
-            true if pause > 0.0 => out.push(Action::WakeAt { at: self.now + pause, token: 2 * request.0 }),
+            true if pause > 0.0 => out.push(Action::WakeAt { at: self.now + pause, token: request.0 << 1 }),
             true => self.place(request, out),
             false => self.give_up(request, out),
         }
--- a/crates/sagemast/src/lib.rs
+++ b/crates/sagemast/src/lib.rs
@@ -5,6 +5,7 @@
 mod exact;
 mod explain;
 mod fleet;
+mod reroute;
 pub mod settings;
 mod state;
 
--- /dev/null
+++ b/crates/sagemast/src/reroute.rs
@@ -0,0 +1,41 @@
+//! Other routes while the module runs. Nothing is decided here: classes come and go, and what was learnt goes on.
+
+use routes::policy::Budget;
+use routes::purse::Purse;
+
+use crate::api::*;
+use crate::brain::Balancer;
+
+impl Balancer {
+    /// The classes that it has.
+    pub fn classes(&self) -> &[Class] {
+        &self.settings.classes
+    }
+
+    /// Whether a class has requests or sends under way: until they are over they go by what it sets.
+    pub fn uses(&self, class: ClassId) -> bool {
+        self.requests.values().any(|held| held.class == class)
+            || self.fleet.all().any(|server| server.outstanding.iter().any(|out| out.class == class))
+    }
+
+    /// Puts a class in the place of one that is not in use, or behind all others. It begins with what is known of
+    /// another: its times, its refusals and what is left of its budgets, as far as its own allow.
+    pub fn put_class(&mut self, id: ClassId, class: Class, known: ClassId) {
+        let mut service = self.seen.service[known.0];
+        service.purse = service.purse.within(self.settings.classes[known.0].budgets(), class.budgets());
+        if let Some(place) = self.settings.classes.get_mut(id.0) {
+            (*place, self.seen.service[id.0]) = (class, service);
+        } else {
+            self.settings.classes.push(class);
+            self.seen.service.push(service);
+        }
+    }
+
+    /// Sets the budgets of all classes together. What is left of them stays, as far as they allow.
+    pub fn put_budgets(&mut self, retries: Option<Budget>, copies: Option<Budget>) {
+        let before = self.settings.budgets();
+        (self.settings.retry_budget, self.settings.copy_budget) = (retries, copies);
+        let purse: Purse = self.seen.purse.within(before, self.settings.budgets());
+        self.seen.purse = purse;
+    }
+}
--- a/crates/sagemast/tests/routes.rs
+++ b/crates/sagemast/tests/routes.rs
@@ -237,3 +237,52 @@
     let (_, actions) = stage.arrive(ROUTED);
     assert_eq!(wake(&actions), None);
 }
+
+/// The policy that the sixth class has from now on, in a place of its own, as the sidecar lays it.
+fn reroute(stage: &mut Stage, policy: Policy) -> ClassId {
+    let id = ClassId(stage.balancer.classes().len());
+    stage.balancer.put_class(id, Class { policy, ..class(Effect::Repeatable) }, ROUTED);
+    id
+}
+
+#[test]
+fn a_request_ends_by_the_policy_it_began_with() {
+    let attempts = |attempts| Policy { attempts: Some(attempts), ..Policy::default() };
+    let mut stage = stage(Effect::Repeatable, attempts(3));
+    let (request, actions) = stage.arrive(ROUTED);
+    let to = sent_to(&actions).expect("it is sent");
+    assert!(stage.balancer.uses(ROUTED));
+    let other = reroute(&mut stage, attempts(1));
+    let again = stage.finish(request, 0, to, Outcome::Error, 1.0);
+    let to = sent_to(&again).expect("it has attempts left by what it began with");
+    stage.finish(request, 1, to, Outcome::Ok, 1.0);
+    assert!(!stage.balancer.uses(ROUTED) && !stage.balancer.uses(other));
+    let (request, actions) = stage.arrive(other);
+    let to = sent_to(&actions).expect("it is sent");
+    assert_eq!(
+        sent_to(&stage.finish(request, 0, to, Outcome::Error, 1.0)),
+        None,
+        "by the new one there are none"
+    );
+}
+
+#[test]
+fn what_is_left_of_a_budget_outlasts_a_change() {
+    let policy = |burst, attempts| Policy {
+        attempts: Some(attempts),
+        retry_budget: Some(Budget { share: Share(0.01), burst }),
+        ..Policy::default()
+    };
+    let mut stage = stage(Effect::Repeatable, policy(3, 2));
+    assert_eq!([0; 2].map(|_| sends(&mut stage, &[Outcome::Full])), [2, 2]);
+    stage.now += 10_000.0;
+    let other = reroute(&mut stage, policy(5, 3));
+    let mut spent = 0;
+    for _ in 0..4 {
+        stage.now += 10_000.0;
+        let (request, actions) = stage.arrive(other);
+        let to = sent_to(&actions).expect("it is sent");
+        spent += usize::from(sent_to(&stage.finish(request, 0, to, Outcome::Full, 1.0)).is_some());
+    }
+    assert_eq!(spent, 1, "one of three was left");
+}
