Let a cancelled send teach that its server is at least so slow

Where a second copy wins, the first is cancelled, and a cancelled send taught nothing: the server that hung had nothing out any more, looked idle and won the next draw. It is now learnt from as a time-out is.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -511,7 +511,7 @@
         let silent = upstream.answered_at <= sent.sent;
         self.fleet.settle(id, self.now, &self.settings.safety);
         self.fleet.forget(id);
-        if matches!(outcome, Outcome::Ok | Outcome::TimedOut) {
+        if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Cancelled) {
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
         if let Some(report) = end.report {
--- a/crates/sagemast/tests/any_order.rs
+++ b/crates/sagemast/tests/any_order.rs
@@ -6,6 +6,8 @@
 
 use common::*;
 use oorandom::Rand64;
+use routes::policy::{Backoff, Budget, CopyAfter, Failure, Policy, SecondCopy};
+use routes::units::{Share, Span};
 use sagemast::Balancer;
 use sagemast::api::*;
 
@@ -48,7 +50,17 @@
                     assert!(!seen.ended, "sent after its end");
                     assert!(self.serving[upstream], "sent to a server that has left");
                     assert!((seen.tries.len() as u32) < self.settings.limits.max_attempts);
-                    assert!(seen.tries.iter().all(|t| t.outcome.is_some()), "two attempts out");
+                    let policy = &self.settings.classes[seen.class].policy;
+                    let copies = self.settings.limits.duplicates && policy.second_copy.is_some();
+                    let out: Vec<&Try> = seen.tries.iter().filter(|t| t.outcome.is_none()).collect();
+                    assert!(out.len() <= usize::from(copies), "{} attempts out already", out.len());
+                    assert!(out.iter().all(|t| t.upstream != *upstream), "a copy to the same server");
+                    if let Some(most) = policy.attempt_timeout {
+                        assert!(*timeout <= most.0, "longer than its route allows");
+                    }
+                    if let Some(most) = policy.sends() {
+                        assert!((seen.tries.len() as u32) < most, "more sends than its route allows");
+                    }
                     let first = seen.tries.iter().find(|t| t.outcome.is_none_or(Outcome::may_have_run));
                     if let Some(first) = first {
                         match self.settings.classes[seen.class].effect {
@@ -219,39 +231,85 @@
     }
 }
 
+/// Policies that no check has seen: the module keeps the rules by itself.
+fn policies() -> Vec<Policy> {
+    let backoff = Backoff { first: Span(5.0), factor: 2.0, most: Span(40.0), jitter: Share(1.0) };
+    let copy = |after| SecondCopy { after, budget: Budget { share: Share(0.5), burst: 5 } };
+    let everything = Failure::ALL.map(|(failure, _)| failure).to_vec();
+    vec![
+        Policy::default(),
+        Policy { backoff: Some(backoff), retry_on: Some(everything.clone()), ..Policy::default() },
+        Policy {
+            attempts: Some(3),
+            resends: Some(1),
+            attempt_timeout: Some(Span(20.0)),
+            second_copy: Some(copy(CopyAfter::Fixed(Span(4.0)))),
+            ..Policy::default()
+        },
+        Policy {
+            second_copy: Some(copy(CopyAfter::Percentile(60.0))),
+            retry_budget: Some(Budget { share: Share(0.3), burst: 3 }),
+            backoff: Some(backoff),
+            ..Policy::default()
+        },
+        Policy {
+            overall: Some(Span(60.0)),
+            retry_on: Some(everything),
+            attempts: Some(9),
+            ..Policy::default()
+        },
+    ]
+}
+
 #[test]
 fn rules_hold_for_any_order_of_events() {
     for seed in 0..60 {
+        play(seed, settings());
+    }
+}
+
+#[test]
+fn rules_hold_under_any_policies() {
+    for seed in 0..100_u64 {
         let mut settings = settings();
-        settings.limits.probes = seed % 3 > 0;
-        settings.crossing_fee = [0.0, 0.02, 0.2][seed as usize % 3];
-        if seed % 2 == 0 {
-            settings.discovery = Discovery::Subscribed { must_ask_in: 5_000.0 };
+        settings.limits.duplicates = !seed.is_multiple_of(4);
+        for (number, class) in settings.classes.iter_mut().enumerate() {
+            class.policy = policies()[(seed as usize + number) % policies().len()].clone();
         }
-        let start = if seed % 5 == 0 { 0.0 } else { 50_000.0 };
-        let mut balancer = Balancer::new(settings.clone(), seed);
-        let mut world = World {
-            settings,
-            rng: Rand64::new(u128::from(seed) + 1_000),
-            now: start,
-            requests: BTreeMap::new(),
-            serving: BTreeMap::new(),
-            probes: Vec::new(),
-            wakes: Vec::new(),
-        };
-        for number in 0..1_500 {
-            world.now += [0.0, 0.5, 3.0, 12.0][world.pick(4)];
-            let event = world.event(number);
-            let mut actions = Vec::new();
-            balancer.handle(world.now, event, &mut actions);
-            world.check(&actions);
-            // Rule 1: whatever is not ended has an attempt out, whose time-out comes by its deadline, or is held
-            // until a timer that comes well before it.
-            for (id, seen) in &world.requests {
-                let out = seen.tries.iter().any(|t| t.outcome.is_none());
-                let held = world.wakes.iter().any(|(at, token)| *token == id.0 >> 1 && *at < seen.deadline);
-                assert!(seen.ended || out || held, "forgotten");
-            }
+        play(seed, settings);
+    }
+}
+
+fn play(seed: u64, mut settings: Settings) {
+    settings.limits.probes = !seed.is_multiple_of(3);
+    settings.crossing_fee = [0.0, 0.02, 0.2][seed as usize % 3];
+    if seed.is_multiple_of(2) {
+        settings.discovery = Discovery::Subscribed { must_ask_in: 5_000.0 };
+    }
+    let start = if seed.is_multiple_of(5) { 0.0 } else { 50_000.0 };
+    let mut balancer = Balancer::new(settings.clone(), seed);
+    let mut world = World {
+        settings,
+        rng: Rand64::new(u128::from(seed) + 1_000),
+        now: start,
+        requests: BTreeMap::new(),
+        serving: BTreeMap::new(),
+        probes: Vec::new(),
+        wakes: Vec::new(),
+    };
+    // The first ids are not used: their timers would be those of the list.
+    for number in 2..1_500 {
+        world.now += [0.0, 0.5, 3.0, 12.0][world.pick(4)];
+        let event = world.event(number);
+        let mut actions = Vec::new();
+        balancer.handle(world.now, event, &mut actions);
+        world.check(&actions);
+        // Rule 1: whatever is not ended has an attempt out, whose time-out comes by its deadline, or is held
+        // until a timer that comes well before it.
+        for (id, seen) in &world.requests {
+            let out = seen.tries.iter().any(|t| t.outcome.is_none());
+            let held = world.wakes.iter().any(|(at, token)| *token == id.0 << 1 && *at < seen.deadline);
+            assert!(seen.ended || out || held, "forgotten");
         }
     }
 }
