--- a/crates/routes/src/purse.rs
+++ b/crates/routes/src/purse.rs
@@ -58,6 +58,15 @@
     }
 }
 
+/// Takes one from each of some purses, if each has enough.
+pub fn spend<const N: usize>(kind: Further, purses: [(&mut Purse, Budgets); N]) -> bool {
+    let may = purses.iter().all(|(purse, budgets)| purse.holds(kind, *budgets));
+    if may {
+        purses.into_iter().for_each(|(purse, budgets)| purse.take(kind, budgets));
+    }
+    may
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -78,13 +87,7 @@
     fn a_purse_fills_up_to_its_burst_and_no_further() {
         let budgets = [Some(Budget { share: Share(0.25), burst: 2 }), None];
         let mut purse = Purse::full(budgets);
-        let spend = |purse: &mut Purse, kind| {
-            let may = purse.holds(kind, budgets);
-            if may {
-                purse.take(kind, budgets);
-            }
-            may
-        };
+        let spend = |purse: &mut Purse, kind| spend(kind, [(purse, budgets)]);
         assert_eq!([0; 3].map(|_| spend(&mut purse, Further::Retry)), [true, true, false]);
         assert!([0; 9].iter().all(|_| spend(&mut purse, Further::Copy)), "these are not counted");
         let earned = (0..4).map(|_| purse.earn(budgets)).count();
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use oorandom::Rand64;
-use routes::purse::{Further, Purse};
+use routes::purse::{self, Further, Purse};
 use serde::{Deserialize, Serialize};
 
 use crate::api::*;
@@ -469,13 +469,8 @@
     /// Takes one of the further sends that all requests together and those of the class may have.
     fn spend(&mut self, class: ClassId, kind: Further) -> bool {
         let (all, own) = (self.settings.budgets(), self.settings.classes[class.0].budgets());
-        let (shared, purse) = (&mut self.seen.purse, &mut self.seen.service[class.0].purse);
-        let may = shared.holds(kind, all) && purse.holds(kind, own);
-        if may {
-            shared.take(kind, all);
-            purse.take(kind, own);
-        }
-        may
+        let purses = [(&mut self.seen.purse, all), (&mut self.seen.service[class.0].purse, own)];
+        purse::spend(kind, purses)
     }
 
     /// A pause before another send is over, or it is time for a second copy.
@@ -511,7 +506,9 @@
         let silent = upstream.answered_at <= sent.sent;
         self.fleet.settle(id, self.now, &self.settings.safety);
         self.fleet.forget(id);
-        if matches!(outcome, Outcome::Ok | Outcome::TimedOut | Outcome::Cancelled) {
+        // Where a copy has won, the one that it overtook says as much as one whose time was up.
+        let copied = self.settings.classes[sent.class.0].policy.second_copy.is_some();
+        if matches!(outcome, Outcome::Ok | Outcome::TimedOut) || (copied && outcome == Outcome::Cancelled) {
             self.learn(id, sent, latency, outcome == Outcome::Ok);
         }
         if let Some(report) = end.report {
--- a/crates/sagemast/tests/routes.rs
+++ b/crates/sagemast/tests/routes.rs
@@ -286,3 +286,38 @@
     }
     assert_eq!(spent, 1, "one of three was left");
 }
+
+/// A server that hangs has nothing out once its sends are cancelled, and must not look idle for it.
+#[test]
+fn a_cancelled_send_tells_that_its_server_is_slow() {
+    let mut stage = stage(Effect::Repeatable, copies(CopyAfter::Fixed(Span(40.0)), 50));
+    let hangs = UpstreamId(1);
+    let mut drawn = 0;
+    for _ in 0..600 {
+        stage.now += 5.0;
+        let (request, actions) = stage.arrive(ROUTED);
+        let first = sent_to(&actions).expect("it is sent");
+        if first != hangs {
+            stage.now += 10.0;
+            stage.finish(request, 0, first, Outcome::Ok, 10.0);
+            continue;
+        }
+        drawn += 1;
+        let (at, token) = wake(&actions).expect("a copy is planned");
+        stage.now = at;
+        let second = sent_to(&stage.event(Event::Woke(token))).expect("the copy");
+        stage.now += 10.0;
+        stage.finish(request, 1, second, Outcome::Ok, 10.0);
+        let cancelled = Finished {
+            request,
+            attempt: AttemptNo(0),
+            upstream: hangs,
+            outcome: Outcome::Cancelled,
+            latency: 50.0,
+            closed: true,
+            report: None,
+        };
+        stage.event(Event::Finished(cancelled));
+    }
+    assert!(drawn < 60, "{drawn} of 600 went there; by chance alone a hundred would");
+}
