Read entries and keys once, and drop what was written twice in routes and seams

On reading the change again: each entry of discovery was decoded twice for every list, the reader of routes copied every JSON value that it looked at, and an edit distance was made by hand beside strsim. Entries are decoded once, keys are read where they stand, strsim serves, the class of a path is cut as routes cut it, one function tells what check finds in either form, one spawns the sidecar in tests, and a reason for lacking a connection that nobody told apart is gone.

--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -3,7 +3,7 @@
 mod cli;
 mod operator_commands;
 
-use std::io::{BufWriter, StdoutLock, Write};
+use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -45,25 +45,18 @@
     let command = command.unwrap_or(Command::Run(run));
     // What could not be carried out must not look like a replay that found differences.
     let trouble = if matches!(command, Command::Run(_)) { 1 } else { 2 };
-    let mut out = std::io::stdout().lock();
+    let mut out = std::io::stdout();
     let done = match command {
-        Command::Run(run) => {
-            drop(out);
-            serve(run.operator.as_deref()).map(|()| ExitCode::SUCCESS)
-        }
+        Command::Run(run) => serve(run.operator.as_deref()).map(|()| ExitCode::SUCCESS),
         Command::Check(check) => operator_commands::check(&check, &mut out),
         Command::Explain(explain) => operator_commands::explain(&explain, &mut out),
         Command::Schema => operator_commands::schema(&mut out),
-        Command::Replay(call) => replay(&call, out),
+        Command::Replay(call) => replay(&call),
         Command::Completions { shell } => {
-            drop(out);
             cli::completions(shell);
             Ok(ExitCode::SUCCESS)
         }
-        Command::Manual => {
-            drop(out);
-            cli::manual().context("cannot write").map(|()| ExitCode::SUCCESS)
-        }
+        Command::Manual => cli::manual().context("cannot write").map(|()| ExitCode::SUCCESS),
     };
     let code = done.unwrap_or_else(|error| {
         // All that is wrong with a file, a line each.
@@ -75,8 +68,8 @@
 }
 
 /// Replays captures. As with `diff`, the status tells whether there are differences.
-fn replay(call: &Replay, out: StdoutLock<'_>) -> Result<ExitCode> {
-    let mut out = BufWriter::new(out);
+fn replay(call: &Replay) -> Result<ExitCode> {
+    let mut out = BufWriter::new(std::io::stdout().lock());
     let mut warn = std::io::stderr().lock();
     let tally = replay::replay(&call.config, call.operator.as_deref(), &call.captures, &mut out, &mut warn)?;
     out.flush().context("cannot write the differences")?;
--- a/crates/harelock/src/operator_commands.rs
+++ b/crates/harelock/src/operator_commands.rs
@@ -21,7 +21,8 @@
 /// One thing that is wrong, as `--json` tells it.
 #[derive(Serialize)]
 struct Told<'a> {
-    file: String,
+    file: &'a str,
+    /// From 1 on; 0 where the place is not known.
     line: usize,
     column: usize,
     path: &'a str,
@@ -29,6 +30,25 @@
     reason: &'a str,
 }
 
+impl Told<'_> {
+    /// Writes it, a line.
+    fn write(&self, as_json: bool, out: &mut dyn Write) -> Result<()> {
+        let Told { file, line, column, path, rule, reason } = self;
+        if as_json {
+            serde_json::to_writer(&mut *out, self).context("cannot write")?;
+            return Ok(writeln!(out)?);
+        }
+        write!(out, "{file}:")?;
+        if *line > 0 {
+            write!(out, "{line}:{column}:")?;
+        }
+        if !path.is_empty() {
+            write!(out, " {path}:")?;
+        }
+        Ok(writeln!(out, " {reason} [{rule}]")?)
+    }
+}
+
 /// Reads the platform from its configuration.
 fn read_platform(config: &Path) -> Result<Platform> {
     let shown = config.display();
@@ -48,29 +68,16 @@
         }
         None => Vec::new(),
     };
+    let file = shown.as_str();
     for Refusal { line, column, path, rule, reason } in &refusals {
-        if check.json {
-            let told =
-                Told { file: shown.clone(), line: *line, column: *column, path, rule: rule.name(), reason };
-            serde_json::to_writer(&mut *out, &told).context("cannot write")?;
-            writeln!(out)?;
-        } else {
-            let path = if path.is_empty() { String::new() } else { format!("{path}: ") };
-            writeln!(out, "{shown}:{line}:{column}: {path}{reason} [{}]", rule.name())?;
-        }
+        let told = Told { file, line: *line, column: *column, path, rule: rule.name(), reason };
+        told.write(check.json, out)?;
     }
     // The other sections, each by its own feature's rules. What is no JSON was told already.
     let others = Operator::parse(text.as_bytes()).err().filter(|_| refusals.is_empty());
     if let Some(error) = &others {
-        let reason = format!("{error:#}");
-        if check.json {
-            let told =
-                Told { file: shown.clone(), line: 0, column: 0, path: "", rule: "section", reason: &reason };
-            serde_json::to_writer(&mut *out, &told).context("cannot write")?;
-            writeln!(out)?;
-        } else {
-            writeln!(out, "{shown}: {reason} [section]")?;
-        }
+        let reason = &format!("{error:#}");
+        Told { file, line: 0, column: 0, path: "", rule: "section", reason }.write(check.json, out)?;
     }
     let sound = refusals.is_empty() && others.is_none();
     if sound && !check.json {
--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -3,6 +3,7 @@
 
 use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, ChildStderr, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
@@ -289,7 +290,7 @@
 
 /// The same with the operators' file.
 pub fn spawn_operated(config: &str, operator: &str) -> Child {
-    spawn_with(config, Some(operator), None).0
+    spawn_with(config, Some(&file(operator)), None).0
 }
 
 /// The same, with its standard error read no further than to where it listens.
@@ -311,15 +312,19 @@
 pub fn file(text: &str) -> std::path::PathBuf {
     let number = FILES.fetch_add(1, Ordering::SeqCst);
     let name = format!("sagemast-{}-{number}.json", std::process::id());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).unwrap();
     path
 }
 
 /// The same with a limit on its descriptors.
-fn spawn_with(config: &str, operator: Option<&str>, descriptors: Option<u32>) -> (Child, std::path::PathBuf) {
+fn spawn_with(
+    config: &str,
+    operator: Option<&Path>,
+    descriptors: Option<u32>,
+) -> (Child, std::path::PathBuf) {
     let path = file(config);
-    let operator = operator.map(|text| ["--operator".into(), file(text)]);
+    let operator = operator.map(|path| [Path::new("--operator"), path]);
     let limit = descriptors.map_or(String::new(), |count| format!("ulimit -n {count} && "));
     let child = Command::new("sh")
         .args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_harelock")])
@@ -346,23 +351,13 @@
 
     /// The same with the operators' file.
     pub fn operated(config: &str, operator: &str) -> Sidecar {
-        Sidecar::listening(spawn_with(config, Some(operator), None))
+        Sidecar::operated_by(config, operator).0
     }
 
     /// The same, and where that file is.
     pub fn operated_by(config: &str, operator: &str) -> (Sidecar, std::path::PathBuf) {
         let operator = file(operator);
-        let path = file(config);
-        let child = Command::new(env!("CARGO_BIN_EXE_harelock"))
-            .arg("--operator")
-            .arg(&operator)
-            .env("ROUTER_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        (Sidecar::listening((child, path)), operator)
+        (Sidecar::listening(spawn_with(config, Some(&operator), None)), operator)
     }
 
     /// How many lines of its log hold all of these.
--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hyper::Uri;
+use routes::matching::segments;
 use sagemast::api::{ClassId, Effect, RequestId, TenantId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -24,7 +25,7 @@
 impl Names {
     /// The class that a path names.
     pub fn class_of(&self, uri: &Uri) -> Option<usize> {
-        let first = uri.path().trim_start_matches('/').split('/').next()?;
+        let first = segments(uri.path()).next()?;
         self.classes.iter().position(|(name, _)| name == first)
     }
 }
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -83,34 +83,20 @@
 impl HostList {
     /// The list in the engine's terms. Entries that cannot be read are logged and left out.
     pub fn list(&self) -> List {
-        List {
-            version: self.seq,
-            whole: self.whole,
-            entries: self.entries().into_iter().map(Host::entry).collect(),
-            unread: self.unread_names().map(str::to_owned).collect(),
-        }
-    }
-
-    /// The entries that can be read; the others are logged.
-    fn entries(&self) -> Vec<Host> {
-        let read = |entry: &serde_json::Value| match Host::deserialize(entry) {
-            Ok(host) if host.share.is_finite() && host.born_ms.is_finite() => Some(host),
-            Ok(host) => {
-                log::line(format!("discovery: absurd figures for {}", host.host));
-                None
-            }
-            Err(error) => {
-                log::line(format!("discovery: an entry cannot be read: {error}"));
-                None
+        let mut list = List { version: self.seq, whole: self.whole, ..List::default() };
+        for entry in &self.hosts {
+            match Host::deserialize(entry) {
+                Ok(host) if host.share.is_finite() && host.born_ms.is_finite() => {
+                    list.entries.push(host.entry())
+                }
+                Ok(host) => log::line(format!("discovery: absurd figures for {}", host.host)),
+                Err(error) => {
+                    log::line(format!("discovery: an entry cannot be read: {error}"));
+                    list.unread.extend(entry.get("host").and_then(|name| name.as_str()).map(str::to_owned));
+                }
             }
-        };
-        self.hosts.iter().filter_map(read).collect()
-    }
-
-    /// The hosts whose entries cannot be read, as far as their names can.
-    fn unread_names(&self) -> impl Iterator<Item = &str> {
-        let unread = |entry: &&serde_json::Value| Host::deserialize(*entry).is_err();
-        self.hosts.iter().filter(unread).filter_map(|entry| entry.get("host")?.as_str())
+        }
+        list
     }
 }
 
@@ -294,7 +280,9 @@
             {"host":"b","dial":"nowhere","health":"ready"},{"host":"c","dial":"127.0.0.1:1","health":"odd"}, 7]}"#,
         )
         .unwrap();
-        let names: Vec<String> = list.entries().into_iter().map(|host| host.host).collect();
+        let list = list.list();
+        let names: Vec<String> = list.entries.into_iter().map(|host| host.host).collect();
         assert_eq!(names, ["a"]);
+        assert_eq!(list.unread, ["b", "c"], "what cannot be read is not missing");
     }
 }
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -52,16 +52,12 @@
 }
 
 impl Routing {
-    /// No routes yet, under a platform with these classes.
-    fn none(platform: Platform, own: Vec<Class>) -> Routing {
-        let names = platform.classes.iter().map(|class| class.name.clone()).collect();
-        Routing { platform, table: Table::default(), own, ids: HashMap::new(), names }
-    }
-
     /// Makes classes of routes: each route has one for each class of the platform that can come to it, behind the
     /// platform's own in the module's settings.
     pub fn new(table: Table, platform: Platform, settings: &mut Settings) -> Routing {
-        let mut routing = Routing::none(platform, settings.classes.clone());
+        let names = platform.classes.iter().map(|class| class.name.clone()).collect();
+        let own = settings.classes.clone();
+        let mut routing = Routing { platform, table: Table::default(), own, ids: HashMap::new(), names };
         let Change { classes, retry_budget, copy_budget } = routing.change(table, &[], |_| true);
         settings.classes.extend(classes.into_iter().map(|(_, class, _)| class));
         settings.retry_budget = retry_budget;
--- a/crates/node/src/transports/http1/mod.rs
+++ b/crates/node/src/transports/http1/mod.rs
@@ -84,14 +84,6 @@
     Dial(OwnedSemaphorePermit),
 }
 
-/// Why there is no connection to be had.
-enum Lacking {
-    /// The upstream is not known.
-    Peer,
-    /// Out of sockets of our own: no fault of the upstream's.
-    Descriptor,
-}
-
 /// How one exchange of an attempt went.
 enum Went {
     /// The attempt has ended.
@@ -131,19 +123,19 @@
     fn attempt(&self, attempt: Attempt) {
         // An idle connection is taken now, in the order in which the module has sent.
         match self.shared.source(attempt.flight.upstream) {
-            Ok((source, peer)) => {
+            Some((source, peer)) => {
                 tokio::spawn(self.shared.clone().carry(attempt, source, peer));
             }
-            Err(_) => self.shared.reports.ended(attempt.flight, End::Outcome(Outcome::NotSent, None)),
+            None => self.shared.reports.ended(attempt.flight, End::Outcome(Outcome::NotSent, None)),
         }
     }
 
     fn probe(&self, upstream: UpstreamId, until: Instant) {
         match self.shared.source(upstream) {
-            Ok((source, peer)) => {
+            Some((source, peer)) => {
                 tokio::spawn(self.shared.clone().ask(upstream, source, peer, until));
             }
-            Err(_) => self.shared.reports.probed(upstream, None),
+            None => self.shared.reports.probed(upstream, None),
         }
     }
 
@@ -167,26 +159,23 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// An idle connection, or the right to a new one.
-    fn source(&self, upstream: UpstreamId) -> Result<(Source, Peer), Lacking> {
+    /// An idle connection, or the right to a new one. `None` for an upstream that is not known, and out of sockets
+    /// of our own: neither is a fault of the upstream's.
+    fn source(&self, upstream: UpstreamId) -> Option<(Source, Peer)> {
         let mut state = self.state();
         let State { places, counts } = &mut *state;
-        let place = places.get_mut(&upstream).ok_or(Lacking::Peer)?;
+        let place = places.get_mut(&upstream)?;
         let peer = place.peer.clone();
         if let Some(connection) = place.pool.take(self.settings.idle_limit) {
             counts.reused += 1;
-            return Ok((Source::Idle(Box::new(connection)), peer));
+            return Some((Source::Idle(Box::new(connection)), peer));
         }
-        match self.permit(places) {
-            Some(permit) => {
-                counts.opened += 1;
-                Ok((Source::Dial(permit), peer))
-            }
-            None => {
-                counts.no_descriptor += 1;
-                Err(Lacking::Descriptor)
-            }
+        let permit = self.permit(places);
+        match permit {
+            Some(_) => counts.opened += 1,
+            None => counts.no_descriptor += 1,
         }
+        permit.map(|permit| (Source::Dial(permit), peer))
     }
 
     /// The right to one more connection; an idle one is closed for it if need be.
@@ -243,8 +232,8 @@
                         return self.reports.ended(flight, End::Outcome(Outcome::Unreachable, None));
                     }
                     match self.source(flight.upstream) {
-                        Ok(other) => (source, peer) = other,
-                        Err(_) => {
+                        Some(other) => (source, peer) = other,
+                        None => {
                             return self.reports.ended(flight, End::Outcome(Outcome::NotSent, None));
                         }
                     }
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -6,6 +6,7 @@
 use jsonc_parser::ast::{Object, Value};
 use jsonc_parser::common::Ranged;
 use jsonc_parser::{CollectOptions, CommentCollectionStrategy, ParseOptions, parse_to_ast};
+use strsim::levenshtein;
 
 /// Which rule a file breaks. The name stands in every message, and the operators' page explains it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -282,8 +283,8 @@
     pub fn end(self, reader: &mut Reader<'t>) {
         for (name, _, place) in self.all() {
             if !self.taken.contains(&name) {
-                let near = self.taken.iter().min_by_key(|known| distance(known, name));
-                let hint = near.filter(|known| distance(known, name) <= 2);
+                let near = self.taken.iter().min_by_key(|known| levenshtein(known, name));
+                let hint = near.filter(|known| levenshtein(known, name) <= 2);
                 let hint = hint.map(|known| format!("; {known:?} is meant?")).unwrap_or_default();
                 reader.refuse(&place, Rule::Key, format!("there is no such key{hint}"));
             }
@@ -294,18 +295,3 @@
 fn join(path: &str, key: &str) -> String {
     if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
 }
-
-/// How many letters must be changed, added or left out to make one text of the other (Levenshtein).
-fn distance(from: &str, to: &str) -> usize {
-    let to: Vec<char> = to.chars().collect();
-    let mut row: Vec<usize> = (0..=to.len()).collect();
-    for (i, a) in from.chars().enumerate() {
-        let mut diagonal = std::mem::replace(&mut row[0], i + 1);
-        for (j, b) in to.iter().enumerate() {
-            let changed = diagonal + usize::from(a != *b);
-            diagonal = row[j + 1];
-            row[j + 1] = changed.min(row[j] + 1).min(diagonal + 1);
-        }
-    }
-    row.last().copied().unwrap_or_default()
-}
--- a/crates/routes/src/index.rs
+++ b/crates/routes/src/index.rs
@@ -31,8 +31,14 @@
     headers: Vec<(String, HeaderIs)>,
 }
 
-fn holds_path(pattern: &Option<PathPattern>, path: &str) -> bool {
-    pattern.as_ref().is_none_or(|pattern| holds(pattern, segments(path).map(str::to_owned)))
+impl Entry {
+    fn holds_path(&self, path: &str) -> bool {
+        self.path.as_ref().is_none_or(|pattern| holds(pattern, segments(path).map(str::to_owned)))
+    }
+
+    fn holds_headers<'h>(&self, header: &impl Fn(&str) -> Option<&'h str>) -> bool {
+        self.headers.iter().all(|(name, is)| is.holds(header(name)))
+    }
 }
 
 impl Index {
@@ -89,11 +95,9 @@
 
     /// All routes that match, narrowest first: the first of them is the one that [`Index::find`] finds.
     pub fn all<'h>(&self, path: &str, header: impl Fn(&str) -> Option<&'h str>) -> Vec<usize> {
-        let found = (0..self.entries.len()).filter(|entry| {
-            let entry = &self.entries[*entry];
-            holds_path(&entry.path, path) && entry.headers.iter().all(|(name, is)| is.holds(header(name)))
-        });
-        found.map(|entry| self.entries[entry].route).collect()
+        let found =
+            self.entries.iter().filter(|entry| entry.holds_path(path) && entry.holds_headers(&header));
+        found.map(|entry| entry.route).collect()
     }
 
     fn walk<'p, 'h>(
@@ -117,7 +121,7 @@
     /// Looks whether one of these entries holds and is narrower than the best so far.
     fn consider<'h>(&self, entries: &[usize], header: &impl Fn(&str) -> Option<&'h str>, best: &mut usize) {
         for &entry in entries.iter().take_while(|entry| **entry < *best) {
-            if self.entries[entry].headers.iter().all(|(name, is)| is.holds(header(name))) {
+            if self.entries[entry].holds_headers(header) {
                 *best = entry;
                 return;
             }
--- a/crates/routes/src/policy.rs
+++ b/crates/routes/src/policy.rs
@@ -125,6 +125,13 @@
     pub burst: u32,
 }
 
+impl Budget {
+    /// Whether nothing can ever be taken from it.
+    pub fn is_nothing(&self) -> bool {
+        self.share.0 == 0.0 || self.burst == 0
+    }
+}
+
 /// When a second copy goes out while the first is still awaited.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CopyAfter {
--- a/crates/routes/src/read.rs
+++ b/crates/routes/src/read.rs
@@ -68,18 +68,18 @@
 
 type Given<'t, 'v> = Option<(&'v Value<'t>, Place)>;
 
-fn route<'t>(
+fn route<'t, 'v>(
     reader: &mut Reader<'t>,
-    value: &Value<'t>,
+    value: &'v Value<'t>,
     place: Place,
     platform: &Platform,
 ) -> Option<RawRoute> {
     let mut fields = reader.fields(value, place.path())?;
     let mut keys = BTreeMap::new();
-    let mut take = |fields: &mut Fields<'t, '_>, key: &'static str| {
+    let mut take = |fields: &mut Fields<'t, 'v>, key: &'static str| -> Given<'t, 'v> {
         let found = fields.take(key);
         keys.extend(found.as_ref().map(|(_, place)| (key, place.clone())));
-        found.map(|(value, place)| (value.clone(), place))
+        found
     };
     let name = take(&mut fields, "name");
     let matching = take(&mut fields, "match");
@@ -97,19 +97,19 @@
             reader.refuse(&place, Rule::Key, format!("{key:?} is lacking"));
         }
     }
-    let whole = |reader: &mut Reader<'t>, given: &Option<(Value<'t>, Place)>, least, most| {
-        given.as_ref().and_then(|(value, place)| reader.whole(value, place, least, most))
+    let whole = |reader: &mut Reader<'t>, given: Given<'t, '_>, least, most| {
+        given.and_then(|(value, place)| reader.whole(value, &place, least, most))
     };
     let policy = Policy {
-        attempt_timeout: span(reader, given(&attempt_timeout), true),
-        overall: span(reader, given(&overall), true),
-        attempts: whole(reader, &attempts, 1, 100),
-        resends: whole(reader, &resends, 0, 100),
-        retry_on: given(&retry_on).map(|(value, place)| failures(reader, value, &place)),
-        backoff: given(&backoff).and_then(|(value, place)| self::backoff(reader, value, &place)),
-        retry_budget: budget(reader, given(&retry_budget)),
-        second_copy: given(&second_copy).and_then(|(value, place)| copy(reader, value, &place)),
-        worth: given(&worth).and_then(|(value, place)| {
+        attempt_timeout: span(reader, attempt_timeout, true),
+        overall: span(reader, overall, true),
+        attempts: whole(reader, attempts, 1, 100),
+        resends: whole(reader, resends, 0, 100),
+        retry_on: retry_on.map(|(value, place)| failures(reader, value, &place)),
+        backoff: backoff.and_then(|(value, place)| self::backoff(reader, value, &place)),
+        retry_budget: budget(reader, retry_budget),
+        second_copy: second_copy.and_then(|(value, place)| copy(reader, value, &place)),
+        worth: worth.and_then(|(value, place)| {
             let number = reader.number(value, &place)?;
             if number > 0.0 && number <= 1e6 {
                 return Some(number);
@@ -118,16 +118,12 @@
             None
         }),
     };
-    let name = given(&name).and_then(|(value, place)| self::name(reader, value, &place)).unwrap_or_default();
-    let matching = given(&matching).map(|(value, place)| self::matching(reader, value, &place, platform));
+    let name = name.and_then(|(value, place)| self::name(reader, value, &place)).unwrap_or_default();
+    let matching = matching.map(|(value, place)| self::matching(reader, value, &place, platform));
     fields.end(reader);
     Some(RawRoute { place, keys, name, matching: matching.unwrap_or_default(), policy })
 }
 
-fn given<'t, 'v>(found: &'v Option<(Value<'t>, Place)>) -> Given<'t, 'v> {
-    found.as_ref().map(|(value, place)| (value, place.clone()))
-}
-
 /// A route's name: it stands in figures and log lines.
 fn name<'t>(reader: &mut Reader<'t>, value: &Value<'t>, place: &Place) -> Option<String> {
     let text = reader.text(value, place)?;
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -5,8 +5,7 @@
 use crate::document::{Reader, Refusal, Rule, parse};
 use crate::index::Index;
 use crate::matching::{Match, Relation, Request, left_over, relation};
-use crate::policy::Failure;
-use crate::policy::{Budget, ClassIndex, CopyAfter, Effect, Platform, PlatformClass, Policy};
+use crate::policy::{Budget, ClassIndex, CopyAfter, Effect, Failure, Platform, PlatformClass, Policy};
 use crate::read::{Raw, RawRoute, section};
 use crate::schedule::{Longest, longest, repeats_after};
 use crate::units::Span;
@@ -65,9 +64,7 @@
     ) -> Option<usize> {
         self.indexes.get(class)?.find(path, header)
     }
-}
 
-impl Table {
     /// All routes that a request of a class matches, narrowest first.
     pub fn all<'h>(
         &self,
@@ -199,7 +196,7 @@
             ("second_copy", copies, copy_budget, "second copies"),
         ] {
             let Some(own) = own else { continue };
-            if own.share.0 == 0.0 || own.burst == 0 {
+            if own.is_nothing() {
                 let reason = format!("a budget of nothing: no {what} can ever be taken from it");
                 self.reader.refuse(route.at(key), Rule::Budget, reason);
             }
@@ -213,7 +210,7 @@
                 self.reader.refuse(route.at(key), Rule::Budget, reason);
             }
         }
-        let nothing = retry_budget.is_some_and(|shared| shared.share.0 == 0.0 || shared.burst == 0);
+        let nothing = retry_budget.is_some_and(|shared| shared.is_nothing());
         if sends > 1 && nothing {
             let reason = "\"retry_budget\" of all routes is nothing, and this one has retries";
             self.reader.refuse(route.at("attempts"), Rule::Budget, reason);
--- a/crates/sagemast/src/reroute.rs
+++ b/crates/sagemast/src/reroute.rs
@@ -1,7 +1,6 @@
 //! Other routes while the module runs. Nothing is decided here: classes come and go, and what was learnt goes on.
 
 use routes::policy::Budget;
-use routes::purse::Purse;
 
 use crate::api::*;
 use crate::brain::Balancer;
@@ -35,7 +34,6 @@
     pub fn put_budgets(&mut self, retries: Option<Budget>, copies: Option<Budget>) {
         let before = self.settings.budgets();
         (self.settings.retry_budget, self.settings.copy_budget) = (retries, copies);
-        let purse: Purse = self.seen.purse.within(before, self.settings.budgets());
-        self.seen.purse = purse;
+        self.seen.purse = self.seen.purse.within(before, self.settings.budgets());
     }
 }
