Hold probes to what arrivals pay for them by the platform's fee

Cause: probe() in brain.rs asked both of a drawn pair at every request whose reports were 300 ms old.

--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -158,6 +158,8 @@
     pub sidecars: u32,
     /// What one zone crossing costs, as a fraction of a mean request's worth.
     pub crossing_fee: f64,
+    /// What one probe costs, likewise.
+    pub probe_fee: f64,
     /// Allowances.
     pub limits: Limits,
     /// Rule figures.
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -36,6 +36,10 @@
 const KAPPA_STEP: f64 = 0.005;
 /// How many reports a listed size counts for.
 const SIZE_PRIOR: f64 = 20.0;
+/// An arrival pays for probes with this share of its worth, and so many are saved up: all sidecars ask the
+/// same servers, which turn away what is too much, so that more of them must ask less each.
+const PROBES_WORTH: f64 = 0.02;
+const PROBES_SAVED: f64 = 8.0;
 /// Below this reported utilisation in-flight / utilisation is mostly rounding.
 const UTILISATION_FLOOR: f64 = 0.1;
 /// Weight of a new sample in the slowness and the failure rate of one server.
@@ -165,6 +169,7 @@
         held.deadline = held.deadline.min(held.arrived + class.policy.overall.map_or(f64::MAX, |all| all.0));
         self.seen.service[held.class.0].purse.earn(class.budgets());
         self.seen.purse.earn(self.settings.budgets());
+        self.seen.probes = (self.seen.probes + PROBES_WORTH / self.settings.probe_fee).min(PROBES_SAVED);
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
@@ -210,7 +215,8 @@
             };
             let rng = &mut self.rng;
             let Some(ids) = self.fleet.pair(from, |count| rng.rand_range(0..count)) else { continue };
-            let pair = ids.map(|id| self.look(id, held));
+            let [Some(one), Some(other)] = ids.map(|id| self.look(id, held)) else { continue };
+            let pair = [one, other];
             last = Some(pair);
             let by_use = if pair[1].projected < pair[0].projected { [pair[1], pair[0]] } else { pair };
             for to in by_use {
@@ -327,13 +333,13 @@
     // --- A server as it looks now ------------------------------------------------------------
 
     /// A server's projected utilisation and expected answer time for this request.
-    fn look(&self, id: UpstreamId, held: &Held) -> Candidate {
-        let Some(server) = self.fleet.get(id) else { return Candidate::nowhere(id) };
+    fn look(&self, id: UpstreamId, held: &Held) -> Option<Candidate> {
+        let server = self.fleet.get(id)?;
         let (in_flight, kappa) = (self.in_flight(server), self.kappa(server));
         let warmth = server.warmth(self.now, &self.settings.safety);
         let slowness = self.slowness(server) / warmth;
         let depth = ((in_flight + 1.0) / kappa).max(1.0);
-        Candidate {
+        Some(Candidate {
             id,
             pool: server.pooled.map_or(Pool::Waiting, |(_, pool)| pool),
             warmth,
@@ -344,7 +350,7 @@
             // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
             idle: in_flight + 1.0 <= (IDLE * kappa).max(IDLE_LEAST),
             wait: self.seen.service[held.class.0].time * slowness * depth,
-        }
+        })
     }
 
     /// κ: how many requests a server works on at once. Its listed weight says how it compares with others
@@ -396,8 +402,10 @@
     fn probe(&mut self, id: UpstreamId, out: &mut Vec<Action>) {
         let Some(upstream) = self.fleet.get_mut(id) else { return };
         let waiting = upstream.probe_sent.is_some_and(|sent| self.now - sent < STALE);
-        if self.settings.limits.probes && !waiting && self.now - upstream.reported_at > FRESH {
+        let asks = self.settings.limits.probes && self.seen.probes >= 1.0;
+        if asks && !waiting && self.now - upstream.reported_at > FRESH {
             upstream.probe_sent = Some(self.now);
+            self.seen.probes -= 1.0;
             out.push(Action::Probe(id));
         }
     }
--- a/crates/sagemast/src/fleet/tests.rs
+++ b/crates/sagemast/src/fleet/tests.rs
@@ -49,6 +49,19 @@
     ]
 }
 
+/// How a server looked to a send; no set depends on it.
+const SEEN: Candidate = Candidate {
+    id: UpstreamId(0),
+    pool: Pool::Warm,
+    warmth: 1.0,
+    projected: 0.0,
+    depth: 1.0,
+    shut: false,
+    limit: 1.0,
+    idle: true,
+    wait: 0.0,
+};
+
 /// Every server looked at anew: who is in which set, by nothing but the records.
 fn scan(fleet: &Fleet, now: Millis) -> BTreeMap<UpstreamId, (usize, Pool)> {
     let serving = fleet.servers.iter().filter(|(_, server)| server.serving);
@@ -62,7 +75,7 @@
         attempt: AttemptNo(0),
         class: ClassId(0),
         sent: 0.0,
-        to: Candidate::nowhere(UpstreamId(0)),
+        to: SEEN,
     };
     match step {
         Step::List(list) => {
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -138,7 +138,8 @@
             over_quota_worth: self.over_share_worth,
             zone: ZoneId(self.zone),
             sidecars: self.peers_total,
-            crossing_fee: self.fees.get("cross_zone").copied().unwrap_or(0.0),
+            crossing_fee: self.fee("cross_zone"),
+            probe_fee: self.fee("probe"),
             limits: Limits {
                 max_attempts: self.allowed.max_attempts,
                 duplicates: self.allowed.may_duplicate,
@@ -163,6 +164,11 @@
         }
     }
 
+    /// What one of these costs, as a share of a request's worth; nothing where the platform names no price.
+    fn fee(&self, name: &str) -> f64 {
+        self.fees.get(name).copied().filter(|fee| fee.is_finite() && *fee > 0.0).unwrap_or(0.0)
+    }
+
     /// Tells what no sidecar could work with; the simulator's own settings always pass.
     pub fn check(&self) -> Result<(), String> {
         let positive = |name: &str, value: f64| {
--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -145,6 +145,8 @@
     pub others: f64,
     /// Share of the arrivals that no server had room for.
     pub refused: f64,
+    /// Probes that arrivals have earned and that are not spent yet.
+    pub probes: f64,
     /// Retries and second copies that are left to all.
     pub purse: Purse,
     /// Room shrinks to this share of the usual while answers are late, and when it was last learnt.
@@ -171,6 +173,7 @@
             fleet: Kind::default(),
             others: 0.0,
             refused: 0.0,
+            probes: 0.0,
             purse,
             room_scale: 1.0,
             room_at: NEVER,
@@ -242,23 +245,6 @@
     pub wait: Millis,
 }
 
-impl Candidate {
-    /// A server that is not known any more.
-    pub fn nowhere(id: UpstreamId) -> Candidate {
-        Candidate {
-            id,
-            pool: Pool::Waiting,
-            warmth: 1.0,
-            projected: f64::MAX,
-            depth: 1.0,
-            shut: true,
-            limit: 1.0,
-            idle: false,
-            wait: f64::MAX,
-        }
-    }
-}
-
 impl Upstream {
     pub fn new(entry: &Listing) -> Upstream {
         Upstream {
--- a/crates/sagemast/tests/any_order.rs
+++ b/crates/sagemast/tests/any_order.rs
@@ -283,6 +283,7 @@
 fn play(seed: u64, mut settings: Settings) {
     settings.limits.probes = !seed.is_multiple_of(3);
     settings.crossing_fee = [0.0, 0.02, 0.2][seed as usize % 3];
+    settings.probe_fee = [0.0, 0.0094, 0.08][seed as usize % 3];
     if seed.is_multiple_of(2) {
         settings.discovery = Discovery::Subscribed { must_ask_in: 5_000.0 };
     }
--- a/crates/sagemast/tests/common/mod.rs
+++ b/crates/sagemast/tests/common/mod.rs
@@ -32,6 +32,7 @@
         zone: ZoneId(0),
         sidecars: 2,
         crossing_fee: 0.0,
+        probe_fee: 0.0,
         limits: Limits {
             max_attempts: 4,
             duplicates: false,
--- a/crates/sagemast/tests/scale.rs
+++ b/crates/sagemast/tests/scale.rs
@@ -117,3 +117,26 @@
         [1, 2].into_iter().for_each(|id| stage.report(id, 1.0, 0.25));
     }
 }
+
+/// Guards against every sidecar of a large fleet asking its pair at every request: together they asked servers for
+/// many times the reports that these give out, and paid for each.
+#[test]
+fn probes_are_held_to_what_arrivals_pay_for_them() {
+    let asked = |fee: f64| {
+        let servers: Vec<_> = (0..200).map(listing).collect();
+        let mut stage = Stage::new(Settings { probe_fee: fee, ..settings() }, servers);
+        let mut probes = 0;
+        for _ in 0..400 {
+            stage.now += 20.0;
+            let (request, actions) = stage.arrive(ONCE);
+            probes += actions.iter().filter(|action| matches!(action, Action::Probe(_))).count();
+            if let Some(to) = sent_to(&actions) {
+                stage.finish(request, 0, to, Outcome::Ok, 20.0);
+            }
+        }
+        probes
+    };
+    assert!((90..=100).contains(&asked(0.08)), "a quarter of a probe for each arrival: {}", asked(0.08));
+    assert!(asked(0.0) > 500, "where probes cost nothing, each pair is asked: {}", asked(0.0));
+    assert!(asked(0.0094) > 500, "two for each arrival are paid for here: {}", asked(0.0094));
+}
