Give a send up when its answer has lost its worth, not at its client's last moment

Cause: timeout() in brain.rs gave a send all the time that its client waits.

Change: where late answers are worth nothing by the settings, a send ends at the aim.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -430,11 +430,13 @@
         out.push(Action::Send { request, upstream: to.id, timeout });
     }
 
-    /// Long enough for this attempt, short enough for another to make the aim.
+    /// Long enough for this attempt, short enough for another to make the aim. What waits at a server past
+    /// the time at which its answer is worth anything is in the way of others.
     fn timeout(&self, held: &Held, to: Candidate, others: bool) -> Millis {
         let class = &self.settings.classes[held.class.0];
         let most = class.policy.attempt_timeout.map_or(f64::MAX, |most| most.0);
-        let left = (held.deadline - self.now).max(0.0).min(most);
+        let end = if class.late_worth > 0.0 { held.deadline - self.now } else { self.aim_left(held) };
+        let left = end.max(0.0).min(most);
         let last = held.tries.len() as u32 + 1 >= self.settings.limits.max_attempts;
         let retries = self.seen.purse.holds(Further::Retry, self.settings.budgets());
         if last || !others || class.effect == Effect::Once || !retries {
--- a/crates/sagemast/tests/pick.rs
+++ b/crates/sagemast/tests/pick.rs
@@ -284,3 +284,21 @@
         assert!(actions.contains(&Action::Probe(UpstreamId(id))), "{actions:?}");
     }
 }
+
+/// Guards against crowding servers with work that earns nothing any more: in a burst requests waited there to their
+/// clients' last moment, long past their aim, and those that came later waited behind them.
+#[test]
+fn a_send_is_given_up_when_its_answer_has_lost_its_worth() {
+    let timeout = |late_worth: f64| {
+        let mut settings = settings();
+        settings.classes[ONCE.0].late_worth = late_worth;
+        let (_, actions) = Stage::new(settings, vec![listing(1), listing(2)]).arrive(ONCE);
+        let sent = actions.iter().find_map(|action| match action {
+            Action::Send { timeout, .. } => Some(*timeout),
+            _ => None,
+        });
+        sent.expect("an idle fleet has room")
+    };
+    assert_eq!(timeout(0.0), 200.0, "its aim");
+    assert_eq!(timeout(0.5), 500.0, "as long as its client waits: late answers are worth something");
+}
