Average what servers hold over time, not over the count of rare reports

Cause: take_report() in brain.rs moved the fleet's mean of others' requests by 2% a report.

Change: the mean moves by the time since the last report over OTHERS_OVER; where reports are frequent, as before.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -623,7 +623,10 @@
         let others = (in_flight - upstream.outstanding.len() as f64).max(0.0);
         upstream.others += (1.0 - (-since / OTHERS_OVER).exp()) * (others - upstream.others);
         upstream.reported_at = self.now;
-        self.seen.others += SMOOTH_ALL * (upstream.others - self.seen.others);
+        // By time: where many sidecars share the probes, reports are too rare here to average by their count.
+        let elapsed = self.now - std::mem::replace(&mut self.seen.others_at, self.now);
+        let step = SMOOTH_ALL.max(1.0 - (-elapsed / OTHERS_OVER).exp());
+        self.seen.others += step * (upstream.others - self.seen.others);
         let Some(utilisation) = utilisation.filter(|u| *u >= UTILISATION_FLOOR) else { return };
         // Servers that start with us begin their mean at 0: early ratios would call them huge.
         if self.now < *self.seen.first_at.get_or_insert(self.now) + 2.0 * MEANS_OVER {
--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -141,8 +141,10 @@
     /// By kind of machine, and of all together.
     pub kinds: BTreeMap<KindId, Kind>,
     pub fleet: Kind,
-    /// Running mean of what others have in flight at a server; stands in where a server was not heard of.
+    /// Running mean of what others have in flight at a server, and when it was last learnt; stands in where a
+    /// server was not heard of.
     pub others: f64,
+    pub others_at: Millis,
     /// Share of the arrivals that no server had room for.
     pub refused: f64,
     /// Probes that arrivals have earned and that are not spent yet.
@@ -172,6 +174,7 @@
             kinds: BTreeMap::new(),
             fleet: Kind::default(),
             others: 0.0,
+            others_at: NEVER,
             refused: 0.0,
             probes: 0.0,
             purse,
--- a/crates/sagemast/tests/scale.rs
+++ b/crates/sagemast/tests/scale.rs
@@ -140,3 +140,22 @@
     assert!(asked(0.0) > 500, "where probes cost nothing, each pair is asked: {}", asked(0.0));
     assert!(asked(0.0094) > 500, "two for each arrival are paid for here: {}", asked(0.0094));
 }
+
+/// Guards against a jam that lasts in the books: a sidecar of a large fleet hears a report a second or so, and by their
+/// count the mean of what servers hold went back over a minute. Until then all sidecars refused what there was room for.
+#[test]
+fn a_jam_is_over_soon_after_rare_reports_tell_so() {
+    let servers = (0..200).map(|id| Listing { weight: 3.0, ..listing(id) }).collect();
+    let mut stage = Stage::new(Settings { sidecars: 300, sizes_listed: true, ..settings() }, servers);
+    let refusals = |stage: &mut Stage, in_flight: f64, reports: u64| {
+        for id in 0..reports {
+            stage.now += 1_000.0;
+            stage.report(id, in_flight, 1.0);
+        }
+        stage.now += 2_000.0;
+        (0..50).filter(|_| refused(&stage.arrive(ONCE).1)).count()
+    };
+    assert!(refusals(&mut stage, 20.0, 20) > 45, "servers hold far more than they work on");
+    stage.now += 1_000.0;
+    assert!(refusals(&mut stage, 0.0, 10) < 5, "and now next to nothing");
+}
