Let what a server reported fade from a second on instead of dropping it

Cause: in_flight() in brain.rs took the fleet's mean for every server that had not reported for a second.

Change: from STALE on a report fades over FORGET, the 2 s of a server's slowness, to the mean.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -16,7 +16,7 @@
 
 /// A report older than this is renewed when its server is drawn: servers renew theirs no oftener.
 const FRESH: Millis = 300.0;
-/// A report older than this says nothing any more; the mean of the known servers stands in.
+/// From this age on a report tells less and less, over [`FORGET`]; the fleet's mean takes its place.
 const STALE: Millis = 1_000.0;
 /// What others have in flight at a server is averaged over about this time: a report is a second old when
 /// it comes, and every sidecar reads the same one, so that by single readings all crowd the same server at
@@ -48,7 +48,7 @@
 const SMOOTH_ALL: f64 = 0.02;
 /// The service time assumed at first, as a share of the class's aim.
 const SERVICE_PRIOR: f64 = 0.15;
-/// What was learnt of a server's slowness fades over this time when nothing new is learnt.
+/// What was learnt of a server, its slowness or its load, fades over this time when nothing new is learnt.
 const FORGET: Millis = 2_000.0;
 /// An unanswered send counts as this share of an answer that took as long: service times spread.
 const AGEING: f64 = 0.5;
@@ -223,8 +223,7 @@
                 // One that has just failed this request is the likeliest to fail it again.
                 let failed = spared && held.tries.iter().any(|t| t.upstream == to.id);
                 let waits = to.pool == Pool::Waiting && from != From::Everyone;
-                // An idle server always has room: else a service time learnt in a jam would lock everyone
-                // out.
+                // An idle one always has room: a service time learnt in a jam would lock everyone out.
                 if failed
                     || waits
                     || to.shut
@@ -369,7 +368,8 @@
     /// m: what others have there by its reports, and our own sends, of which we know at once. An unheard
     /// server takes the mean of the known ones.
     fn in_flight(&self, upstream: &Upstream) -> f64 {
-        let heard = self.now - upstream.reported_at <= STALE;
+        let age = (self.now - upstream.reported_at - STALE).max(0.0);
+        let others = self.seen.others + (upstream.others - self.seen.others) * (-age / FORGET).exp();
         // What is out for long while the server answers others is lost or hangs, and holds no place there.
         let longest = self.seen.service.iter().map(|service| service.time).fold(1.0, f64::max);
         let since = self.now - LOST_AFTER * longest * self.remembered(upstream).max(1.0);
@@ -378,7 +378,7 @@
         } else {
             upstream.outstanding.partition_point(|o| o.sent < since)
         };
-        (upstream.outstanding.len() - lost) as f64 + if heard { upstream.others } else { self.seen.others }
+        (upstream.outstanding.len() - lost) as f64 + others
     }
 
     /// Service time relative to the mean server, from answers and from sends that are long unanswered.
--- a/crates/sagemast/tests/scale.rs
+++ b/crates/sagemast/tests/scale.rs
@@ -159,3 +159,20 @@
     stage.now += 1_000.0;
     assert!(refusals(&mut stage, 0.0, 10) < 5, "and now next to nothing");
 }
+
+/// Guards against dropping what a server told a moment ago: where a sidecar hears of each server every few seconds, one
+/// that had a long queue 1.5 s ago looked like any other, and was sent as much.
+#[test]
+fn a_queue_told_of_lately_is_still_avoided() {
+    let mut stage = Stage::new(settings(), (0..10).map(listing).collect());
+    stage.report(1, 0.0, 0.0);
+    stage.report(0, 3.0, 1.0);
+    stage.now += 1_500.0;
+    let sends = (0..200).filter(|_| {
+        let (request, actions) = stage.arrive(ONCE);
+        let to = sent_to(&actions).expect("nine servers have nothing to do");
+        stage.finish(request, 0, to, Outcome::Cancelled, 1.0);
+        to == UpstreamId(0)
+    });
+    assert_eq!(sends.count(), 0, "it had a queue 1.5 s ago, and of most others nothing is known");
+}
