Let worth decide by chance, not by a limit that shuts a class out of the whole fleet

No burst yet at 8 s, and statements are refused six times as often as contributions at servers that have a core free:

8.009 request 289 has no place: aim_left=672 room=282 ... drawn=[68 warm wait=89 depth=1.00, 21 warm wait=111 depth=1.00]; service=84 room_scale=1.00 refused=0.88 pace=1.00 kappa=1.03 others=1.9

A depth of 1.00 is a server with no queue. Its limit was favour (0.72 for statements once most is refused, 1.5 for contributions) times one and a 36th of its cores, and depth is never under 1: a favour under 0.97 shut every server that was not idle. As servers not heard of all show the fleet's mean, the class with the smaller limit is let in everywhere or nowhere, and what the other class is let in with keeps the mean above it. Lines: favour() and the last condition of choose() in brain.rs.

Ruled out: room (282 ms left for waits of 89 and 111); ejection (0 of 192); cold servers (58, the pair is warm); the front and the deadline (answered after 0 ms, 672 ms left).

Room goes by the usual request's length, for by its own time the longer class bore all refusals the same way.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -56,17 +56,16 @@
 const ROOM: f64 = 0.6;
 /// Room shrinks while more of what was accepted is late than this: crowded servers slow down unforeseen.
 const LATE_TARGET: f64 = 0.15;
-/// How strongly what a request may ask of servers depends on what it earns, where nearly all is refused;
-/// half as strongly where this share is.
+/// How strongly a request's chance depends on what it earns, where nearly all is refused; half as strongly
+/// where this share is; and how much smaller than that of others a chance may become.
 const FAVOUR: f64 = 0.8;
 const FAVOUR_HALF: f64 = 0.1;
+const FAVOUR_LEAST: f64 = 0.7;
 /// A server is sent no more than it works on at once and a share of that to wait there: this one for a
 /// sidecar by itself, less the more others send there unseen. What waits at a server slows it down; what
 /// waits at a client does not.
 const WAITING: f64 = 1.5;
 const UNSEEN: f64 = 0.7;
-/// How strongly what a request may ask of servers makes up for a class that is refused more than the whole.
-const EVEN: f64 = 1.0;
 /// A server this little used, with one request more, counts as idle.
 const IDLE: f64 = 0.5;
 /// And so does one that holds no more than this with it, whatever its size is taken for.
@@ -118,7 +117,8 @@
         // Until answers tell, a service time that leaves room for a queue and another try.
         let service = |class: &Class| Service::new(class.aim * SERVICE_PRIOR, Purse::full(class.budgets()));
         let service = settings.classes.iter().map(service).collect();
-        let seen = Learnt::new(service, settings.tenants.len(), Purse::full(settings.budgets()));
+        let seen =
+            Learnt::new(service, settings.tenants.len(), Purse::full(settings.budgets()), SERVICE_PRIOR);
         Balancer {
             settings,
             rng: Rand64::new(u128::from(seed)),
@@ -129,16 +129,6 @@
         }
     }
 
-    /// Goes on from a checkpoint, which holds all but the settings; `None` where they do not fit each
-    /// other.
-    pub fn resume(self, settings: Settings) -> Option<Balancer> {
-        let (classes, tenants) = (self.seen.service.len(), self.seen.tenant_shares.len());
-        let out = self.fleet.all().flat_map(|upstream| &upstream.outstanding).map(|out| out.class);
-        let known = self.requests.values().map(|held| held.class).chain(out).all(|class| class.0 < classes);
-        let fits = known && classes == settings.classes.len() && tenants == settings.tenants.len();
-        fits.then_some(Balancer { settings, ..self })
-    }
-
     /// Takes in one event and appends the actions that answer it.
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -173,8 +163,11 @@
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
-        let (density, usual) = (self.density(&held), self.seen.usual_density.unwrap_or(self.density(&held)));
-        self.seen.usual_density = Some(usual + SMOOTH_ALL * (density - usual));
+        let density = self.density(held.class);
+        let usual = self.seen.usual_density.get_or_insert(density);
+        *usual += SMOOTH_ALL * (density - *usual);
+        let length = self.seen.service[held.class.0].time / self.settings.classes[held.class.0].aim.max(1.0);
+        self.seen.usual_length += SMOOTH_ALL * (length - self.seen.usual_length);
         self.requests.insert(request, held);
         self.place(request, out);
     }
@@ -185,8 +178,6 @@
         let to = self.choose(request, &held, out);
         let refused = f64::from(u8::from(to.is_none()));
         self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
-        let class = &mut self.seen.service[held.class.0];
-        class.refused += SMOOTH_ALL * (refused - class.refused);
         match to {
             Some(to) => self.send(request, to, self.fleet.serving() > 1, out),
             None => self.give_up(request, out),
@@ -198,10 +189,12 @@
     fn choose(&mut self, request: RequestId, held: &Held, out: &mut Vec<Action>) -> Option<Candidate> {
         let within = self.reach(held)?;
         let spared = self.fleet.count(&[Pool::Warm, Pool::Cold]) > held.tries.len();
-        let aim_left = self.aim_left(held);
-        let room = self.room(held) * aim_left;
+        let (room, aim_left) = (self.room(held), self.aim_left(held));
         let others_unseen = f64::from(self.settings.sidecars.max(1)).powf(UNSEEN);
-        let most = (1.0 + WAITING / others_unseen) * self.favour(held);
+        let most = (1.0 + WAITING / others_unseen) * self.room_scale();
+        let favoured = self.rng.rand_float() < self.favour(held);
+        // An idle one always has room: a service time learnt in a jam would lock everyone out.
+        let fits = |to: &Candidate| to.wait <= aim_left && to.crowding <= room && to.used <= most * to.limit;
         // A near server that has room answers sooner; its limit keeps it from being filled up.
         let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
@@ -223,12 +216,7 @@
                 // One that has just failed this request is the likeliest to fail it again.
                 let failed = spared && held.tries.iter().any(|t| t.upstream == to.id);
                 let waits = to.pool == Pool::Waiting && from != From::Everyone;
-                // An idle one always has room: a service time learnt in a jam would lock everyone out.
-                if failed
-                    || waits
-                    || to.shut
-                    || !(to.idle || (to.wait <= room && to.depth <= most * to.limit))
-                {
+                if failed || waits || to.shut || !(to.idle || favoured && fits(&to)) {
                     continue;
                 }
                 cold_drawn |= to.pool == Pool::Cold;
@@ -273,22 +261,22 @@
         self.rng.rand_float() < share * (1.0 - self.seen.refused)
     }
 
-    /// The share of the time left to its aim that a request's wait may take. Under overload queues fill up
-    /// to it.
+    /// How crowded a server may be for this request, in service times: the usual request's wait may take a
+    /// share of the time left to its aim, less while answers are late. The usual one's, since by their own
+    /// times those of the longest class would bear all refusals; its own wait must only make its aim.
     pub(crate) fn room(&self, held: &Held) -> f64 {
-        ROOM * self.favour(held)
+        let left = self.aim_left(held) / self.settings.classes[held.class.0].aim.max(1.0);
+        ROOM * self.room_scale() * left / self.seen.usual_length.max(0.001)
     }
 
-    /// How much more or less than the usual a request may ask of servers: work that earns less for its
-    /// service time is the first to be refused, the more so the more has to be, and less of all while
-    /// answers are late.
+    /// The chance that a request may go to a server that is not idle: what earns less than the usual for its
+    /// service time stands back, the more so the more has to be refused. A chance and not a tighter limit:
+    /// where sidecars know little but the fleet's mean, a limit lets in all of a class or nothing.
     fn favour(&self, held: &Held) -> f64 {
-        let density = self.density(held);
+        let density = self.density(held.class);
+        let usual = self.seen.usual_density.unwrap_or(density);
         let strength = FAVOUR * self.seen.refused / (self.seen.refused + FAVOUR_HALF);
-        let worth = (density / self.seen.usual_density.unwrap_or(density)).powf(strength).clamp(0.5, 1.5);
-        // By worth alone one class would bear all refusals.
-        let even = (1.0 + EVEN * (self.seen.service[held.class.0].refused - self.seen.refused)).max(0.5);
-        self.room_scale() * worth * even
+        (density / usual).powf(strength).clamp(FAVOUR_LEAST, 1.0) * self.within_share(held).powf(strength)
     }
 
     /// What was learnt of late answers fades: after a jam hardly any answers come to unlearn it by.
@@ -296,16 +284,19 @@
         faded(self.seen.room_scale, self.now - self.seen.room_at, ROOM_FORGETS)
     }
 
-    /// What a request earns for its service time. No sidecar can know which tenants are over their share;
-    /// those with more of our arrivals than of all quotas are the likeliest.
-    fn density(&self, held: &Held) -> f64 {
+    /// What a request of a class earns for its service time.
+    fn density(&self, class: ClassId) -> f64 {
+        self.settings.classes[class.0].worth.max(f64::MIN_POSITIVE) / self.seen.service[class.0].time.max(1.0)
+    }
+
+    /// The share of its class's worth that a request earns. No sidecar can know which tenants are over their
+    /// quota; those with more of our arrivals than of all quotas are the likeliest.
+    fn within_share(&self, held: &Held) -> f64 {
         let quotas: f64 = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).sum();
         let quota = self.settings.tenants.get(held.tenant.0).map_or(0.0, |tenant| tenant.quota_per_s);
         let share = self.seen.tenant_shares.get(held.tenant.0).copied().unwrap_or(0.0);
         let within = if quota > 0.0 && share > 0.0 { (quota / quotas / share).min(1.0) } else { 1.0 };
-        let worth = self.settings.classes[held.class.0].worth;
-        worth * (within + (1.0 - within) * self.settings.over_quota_worth)
-            / self.seen.service[held.class.0].time.max(1.0)
+        within + (1.0 - within) * self.settings.over_quota_worth
     }
 
     /// Time until the answer loses its worth.
@@ -337,17 +328,20 @@
         let (in_flight, kappa) = (self.in_flight(server), self.kappa(server));
         let warmth = server.warmth(self.now, &self.settings.safety);
         let slowness = self.slowness(server) / warmth;
-        let depth = ((in_flight + 1.0) / kappa).max(1.0);
+        let used = (in_flight + 1.0) / kappa;
+        let depth = used.max(1.0);
         Some(Candidate {
             id,
             pool: server.pooled.map_or(Pool::Waiting, |(_, pool)| pool),
             warmth,
-            projected: (in_flight + 1.0) / kappa * slowness,
+            projected: used * slowness,
+            used,
             depth,
             shut: self.now < server.shut_until,
             limit: if self.sized(server) { server.limit_at(self.now) } else { f64::MAX },
             // An empty one is idle whatever its size: else nothing could ever correct what was learnt.
             idle: in_flight + 1.0 <= (IDLE * kappa).max(IDLE_LEAST),
+            crowding: slowness * depth,
             wait: self.seen.service[held.class.0].time * slowness * depth,
         })
     }
--- a/crates/sagemast/src/explain.rs
+++ b/crates/sagemast/src/explain.rs
@@ -24,19 +24,21 @@
         let seen = &self.seen;
         let drawn = last.map_or("none".to_owned(), |pair| {
             let told = |c: Candidate| {
-                format!("{} {:?} wait={:.0} depth={:.2}", c.id.0, c.pool, c.wait, c.depth).to_lowercase()
+                let Candidate { id, pool, wait, crowding, used, .. } = c;
+                format!("{} {pool:?} wait={wait:.0} crowding={crowding:.1} used={used:.2}", id.0)
+                    .to_lowercase()
             };
             format!("[{}, {}]", told(pair[0]), told(pair[1]))
         });
         let [warm, cold, trial, waiting] =
             [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].map(|pool| self.fleet.count(&[pool]));
         let text = format!(
-            "request {} has no place: aim_left={:.0} room={:.0} tries={} warm={warm} cold={cold} \
+            "request {} has no place: aim_left={:.0} room={:.1} tries={} warm={warm} cold={cold} \
              trial={trial} ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} \
              pace={:.2} kappa={:.2} others={:.1}",
             request.0,
             self.aim_left(held),
-            self.room(held) * self.aim_left(held),
+            self.room(held),
             held.tries.len(),
             seen.service[held.class.0].time,
             self.room_scale(),
--- a/crates/sagemast/src/fleet/tests.rs
+++ b/crates/sagemast/src/fleet/tests.rs
@@ -55,10 +55,12 @@
     pool: Pool::Warm,
     warmth: 1.0,
     projected: 0.0,
+    used: 1.0,
     depth: 1.0,
     shut: false,
     limit: 1.0,
     idle: true,
+    crowding: 1.0,
     wait: 0.0,
 };
 
--- a/crates/sagemast/src/lib.rs
+++ b/crates/sagemast/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod brain;
+mod checkpoint;
 mod exact;
 mod explain;
 mod fleet;
--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -70,8 +70,6 @@
     /// Running median of its time at a mean server, network time included.
     pub time: Millis,
     pub samples: f64,
-    /// Share of its arrivals that was refused.
-    pub refused: f64,
     /// Retries and second copies that it has left.
     pub purse: Purse,
     /// The time after which an answer counts as late enough for a second copy.
@@ -80,7 +78,7 @@
 
 impl Service {
     pub fn new(time: Millis, purse: Purse) -> Service {
-        Service { time, samples: 0.0, refused: 0.0, purse, late: time }
+        Service { time, samples: 0.0, purse, late: time }
     }
 
     /// Steps the median towards a sample, at first in larger steps.
@@ -156,6 +154,8 @@
     pub room_at: Millis,
     /// Worth per service time of the mean arrival.
     pub usual_density: Option<f64>,
+    /// Service time of the mean arrival, as a share of its aim.
+    pub usual_length: f64,
     /// Each tenant's share of our arrivals.
     pub tenant_shares: Vec<f64>,
     /// When the first report came.
@@ -168,7 +168,7 @@
 }
 
 impl Learnt {
-    pub fn new(service: Vec<Service>, tenants: usize, purse: Purse) -> Learnt {
+    pub fn new(service: Vec<Service>, tenants: usize, purse: Purse, usual_length: f64) -> Learnt {
         Learnt {
             service,
             kinds: BTreeMap::new(),
@@ -181,6 +181,7 @@
             room_scale: 1.0,
             room_at: NEVER,
             usual_density: None,
+            usual_length,
             tenant_shares: vec![0.0; tenants],
             first_at: None,
             ask_wait: 0.0,
@@ -239,12 +240,16 @@
     pub pool: Pool,
     pub warmth: f64,
     pub projected: f64,
+    /// What it would hold with this request, by what it works on at once.
+    pub used: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
     /// It turned a request away a moment ago.
     pub shut: bool,
     pub limit: f64,
     pub idle: bool,
+    /// How many times the mean server's service time an answer is expected to take.
+    pub crowding: f64,
     pub wait: Millis,
 }
 
--- /dev/null
+++ b/crates/sagemast/tests/classes.rs
@@ -0,0 +1,104 @@
+//! No class of requests is shut out, whatever the mix, the worths and the service times.
+
+mod common;
+
+use common::*;
+use sagemast::api::*;
+
+const CHEAP: ClassId = ClassId(0);
+const DEAR: ClassId = ClassId(1);
+
+/// One of hundreds of sidecars: two classes, of which one must run once and one is keyed, before servers of three
+/// cores.
+fn fleet(worths: [f64; 2]) -> (Settings, Vec<u64>) {
+    let mut settings = settings();
+    let effects = [Effect::Once, Effect::ByKey { scope: Scope::All, window: 4_000.0 }];
+    settings.classes = effects
+        .into_iter()
+        .zip(worths)
+        .map(|(effect, worth)| Class { worth, aim: 600.0, ..class(effect) })
+        .collect();
+    settings.sidecars = 300;
+    settings.sizes_listed = true;
+    (settings, (0..60).collect())
+}
+
+/// Plays a sidecar that sees little of its fleet: in each round of 50 ms one server, of which three in four hold
+/// `busy` requests and the others `free`, is heard of, and one request arrives, `cheap` of a hundred of the lesser
+/// class. What arrived and what was sent in the last 30 s of a minute, by class.
+fn play(worths: [f64; 2], cheap: u64, [busy, free]: [f64; 2], service: [Millis; 2]) -> [(u32, u32); 2] {
+    let (settings, ids) = fleet(worths);
+    let list = ids.iter().map(|id| Listing { weight: 3.0, ..listing(*id) }).collect();
+    let mut stage = Stage::new(settings, list);
+    let mut told = [(0, 0); 2];
+    let mut out: Vec<(Millis, RequestId, UpstreamId, Millis)> = Vec::new();
+    for round in 0..1_200_u64 {
+        stage.now += 50.0;
+        let id = ids[(round * 7 % 60) as usize];
+        let held = if id % 4 == 0 { free } else { busy };
+        stage.report(id, held, (held / 3.0).min(1.0));
+        for (_, request, to, took) in out.extract_if(.., |(at, ..)| *at <= stage.now).collect::<Vec<_>>() {
+            stage.finish(request, 0, to, Outcome::Ok, took);
+        }
+        let class = if round * 37 % 100 < cheap { CHEAP } else { DEAR };
+        let (request, actions) = stage.arrive(class);
+        let sent = sent_to(&actions);
+        if let Some(to) = sent {
+            let took = service[class.0];
+            out.push((stage.now + took, request, to, took));
+        }
+        if round >= 600 {
+            told[class.0].0 += 1;
+            told[class.0].1 += u32::from(sent.is_some());
+        }
+    }
+    told
+}
+
+/// Guards against two limits on one mean: under pressure the class of less worth once had a limit under one request
+/// for each core, and was refused at servers that had a core free, while the other class filled them.
+#[test]
+fn a_class_of_less_worth_is_not_shut_out_of_servers_with_a_free_core() {
+    for cheap in [5, 50, 74, 95] {
+        let told = play([10.0, 30.0], cheap, [5.0, 2.0], [80.0, 80.0]);
+        let [lesser, greater] = told.map(|(arrived, sent)| f64::from(sent) / f64::from(arrived));
+        assert!(greater > 0.0, "{cheap} of 100 are of the lesser class: {told:?}");
+        assert!(lesser >= 0.5 * greater, "{cheap} of 100 are of the lesser class: {told:?}");
+    }
+}
+
+/// Guards against the same by the other limit: where waits were near what an aim leaves room for, a class whose
+/// requests take twice as long was refused alone.
+#[test]
+fn a_class_of_long_requests_is_not_shut_out_of_slow_servers() {
+    for [cheap, long] in [[5, 0], [50, 0], [95, 0], [5, 1], [50, 1], [95, 1]] {
+        let service = if long == 0 { [160.0, 40.0] } else { [40.0, 160.0] };
+        let told = play([10.0, 30.0], cheap, [5.0, 2.0], service);
+        let shares = told.map(|(arrived, sent)| f64::from(sent) / f64::from(arrived));
+        let [least, most] = [shares[0].min(shares[1]), shares[0].max(shares[1])];
+        assert!(most > 0.0 && least >= 0.5 * most, "{cheap} of 100 are of the lesser class: {told:?}");
+    }
+}
+
+/// Guards against hostile settings: a class without worth, or without an aim, is answered and does no harm to others.
+#[test]
+fn a_class_of_no_worth_or_no_aim_does_no_harm() {
+    for (worth, aim) in [(0.0, 600.0), (-1.0, 600.0), (f64::NAN, 600.0), (10.0, 0.0), (0.0, 0.0)] {
+        let (mut settings, ids) = fleet([worth, 30.0]);
+        settings.classes[CHEAP.0].aim = aim;
+        let list = ids.iter().map(|id| Listing { weight: 3.0, ..listing(*id) }).collect();
+        let mut stage = Stage::new(settings, list);
+        let mut sent = 0;
+        for round in 0..400_u64 {
+            stage.now += 50.0;
+            stage.report(round % 60, 1.0, 0.3);
+            let (request, actions) = stage.arrive([CHEAP, DEAR][(round % 2) as usize]);
+            assert!(sent_to(&actions).is_some() || refused(&actions), "{worth} {aim}: {actions:?}");
+            if let Some(to) = sent_to(&actions) {
+                sent += round % 2;
+                stage.finish(request, 0, to, Outcome::Ok, 40.0);
+            }
+        }
+        assert!(sent > 190, "worth {worth}, aim {aim}: {sent} of 200 of the other class sent");
+    }
+}
