Order due times by a well-kept crate's ordered number instead of our own

Change: ordered-float's OrderedFloat for 26 lines of comparisons; checkpoints read and write the same numbers.

--- a/crates/sagemast/src/fleet.rs
+++ b/crates/sagemast/src/fleet.rs
@@ -5,10 +5,10 @@
 //! changes with time alone (a cold server grows warm, an ejected one is due for a trial) waits in an order
 //! of due times. Only a list update costs its own length.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 use indexmap::{IndexMap, IndexSet};
+use ordered_float::OrderedFloat;
 use rustc_hash::FxBuildHasher;
 use serde::{Deserialize, Serialize};
 
@@ -50,30 +50,6 @@
     Cell(CellId),
 }
 
-/// A time that can be ordered.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct At(Millis);
-
-impl Ord for At {
-    fn cmp(&self, other: &At) -> Ordering {
-        self.0.total_cmp(&other.0)
-    }
-}
-
-impl PartialOrd for At {
-    fn partial_cmp(&self, other: &At) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for At {
-    fn eq(&self, other: &At) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for At {}
-
 /// All servers known, and the sets of those that serve.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Fleet {
@@ -84,7 +60,7 @@
     zones: BTreeMap<ZoneId, Set>,
     cells: BTreeMap<CellId, Set>,
     /// When time alone may change a server's set. An entry may be out of date; looking again does no harm.
-    due: BTreeSet<(At, UpstreamId)>,
+    due: BTreeSet<(OrderedFloat<Millis>, UpstreamId)>,
     /// Sum of the failure rates of those that serve, in millionths: whole numbers, which cannot drift.
     failures: u64,
 }
@@ -194,8 +170,8 @@
 
     /// Moves servers whose time has come.
     pub fn pass_time(&mut self, now: Millis, safety: &Safety) {
-        while let Some((At(at), id)) = self.due.first().copied().filter(|(At(at), _)| *at <= now) {
-            self.due.remove(&(At(at), id));
+        while let Some((at, id)) = self.due.first().copied().filter(|(at, _)| at.0 <= now) {
+            self.due.remove(&(at, id));
             self.settle(id, now, safety);
         }
     }
@@ -206,7 +182,7 @@
         let Some((side, was)) = server.pooled else { return };
         let (pool, due) = server.state(now, safety);
         if let Some(at) = due {
-            self.due.insert((At(at), id));
+            self.due.insert((OrderedFloat(at), id));
         }
         if pool != was {
             server.pooled = Some((side, pool));
@@ -236,7 +212,7 @@
         let (pool, due) = server.state(now, safety);
         server.pooled = Some((side, pool));
         self.failures += u64::from(server.failures);
-        self.due.extend(due.map(|at| (At(at), id)));
+        self.due.extend(due.map(|at| (OrderedFloat(at), id)));
         self.pools[side][pool as usize].insert(id);
         self.zones.entry(server.zone).or_default().insert(id);
         self.cells.entry(server.cell).or_default().insert(id);
