Send cold servers their share while the warm ones refuse

Lines: admits_cold() in brain.rs.

Ruled out: slots or crowding at the cold ones (they hold 0.4 to 0.9 requests on three cores).

Change: no less than a quarter of the allowance, since what is refused comes again three times at the most.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -97,6 +97,8 @@
 const SHUT_FOR: [Millis; 2] = [100.0, 1_600.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 const COLD_MARGIN: f64 = 0.5;
+/// How often a client tries a request that is refused again and again: once, and up to three times more.
+const TRIES: f64 = 4.0;
 /// Discovery is asked within this share of the time in which it must be; doubles with each failure.
 const ASK_OVER: f64 = 0.25;
 
@@ -255,8 +257,8 @@
     fn admits_cold(&mut self, to: Candidate) -> bool {
         let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0;
         // Where there is no room elsewhere, more requests come than servers can carry, and more to this
-        // one.
-        self.rng.rand_float() < share * (1.0 - self.seen.refused)
+        // one: as often as clients try again, and no more often.
+        self.rng.rand_float() < share * (1.0 - self.seen.refused).max(1.0 / TRIES)
     }
 
     /// How many times its service time an answer may take, less while answers are late. The same for all: by
--- a/crates/sagemast/tests/rules.rs
+++ b/crates/sagemast/tests/rules.rs
@@ -240,6 +240,62 @@
     }
 }
 
+/// Guards against leaving new servers idle beside full ones: while the fleet refused most, each cold server was sent next
+/// to nothing, so that a release in which most servers are new served least just when they were wanted. What all
+/// sidecars together send them stays inside the allowance, with three times as many tries as all servers can do.
+#[test]
+fn cold_servers_are_used_while_warm_ones_are_full() {
+    const SERVERS: u64 = 10;
+    const WORK: Millis = 30.0;
+    const SIDECARS: u32 = 50;
+    let settings = Settings { sidecars: SIDECARS, sizes_listed: true, ..settings() };
+    let start = 100_000.0;
+    let cold = |id: u64| id > 4;
+    let (new, old): (Vec<Listing>, Vec<Listing>) = (1..=SERVERS)
+        .map(|id| Listing { started: cold(id).then_some(start), ..listing(id) })
+        .partition(|server| server.started.is_some());
+    let (fall, multiple) = (settings.safety.fall, settings.safety.fall_multiple);
+    let (span, per_ms) = (4.0 * fall, 3.0 * SERVERS as f64 / WORK);
+    let mut sends: Vec<(UpstreamId, Millis)> = Vec::new();
+    for sidecar in 0..SIDECARS {
+        let mut stage = Stage::seeded(settings.clone(), old.clone(), u64::from(sidecar));
+        let gap = f64::from(SIDECARS) / per_ms;
+        // The old ones are full for a while before.
+        for round in 0..200 {
+            stage.now = start - gap * f64::from(200 - round);
+            stage.report(1 + (round % 4) as u64, 5.0, 1.0);
+            stage.arrive(ONCE);
+        }
+        stage.event(Event::Listed(ListNews::Changed(new.clone())));
+        stage.now = start + gap * f64::from(sidecar) / f64::from(SIDECARS);
+        let mut number = 0;
+        while stage.now < start + span {
+            // What is heard of warm servers is full, of cold ones idle, one of them at a time.
+            number += 1;
+            let id = 1 + number % SERVERS;
+            let (held, used) = if cold(id) { (0.0, 0.1) } else { (5.0, 1.0) };
+            stage.report(id, held, used);
+            let (request, actions) = stage.arrive(ONCE);
+            if let Some(to) = sent_to(&actions) {
+                sends.push((to, stage.now));
+                stage.finish(request, 0, to, Outcome::Ok, WORK);
+            }
+            stage.now += gap;
+        }
+    }
+    for id in (1..=SERVERS).filter(|id| cold(*id)) {
+        let at: Vec<Millis> = sends.iter().filter(|s| s.0.0 == id).map(|s| s.1).collect();
+        let capacity = |from: Millis| (0.2 + 0.8 * (from - start) / settings.safety.warm_up) * fall;
+        for from in &at {
+            let sent = at.iter().filter(|t| (*from..from + fall).contains(*t)).count() as f64 * WORK;
+            assert!(sent <= multiple * capacity(*from), "server {id}: {sent} ms of work in a window");
+        }
+        let last = at.iter().filter(|t| **t >= start + span - fall).count() as f64 * WORK;
+        let could = capacity(start + span - fall);
+        assert!(last >= 0.3 * could, "server {id}: {last} ms of work where it could do {could}");
+    }
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_cold_again() {
     let mut stage = Stage::new(settings(), vec![listing(1)]);
