Take a class's worth as that of its work where the platform counts it so

Cause: the settings say counted_by = work, so that a heavy request is worth more than a light one, and the module divided the worth by the service time once more. Lines: density() in brain.rs, settings.rs passed counted_by over.

Change: where worth counts by work the service time is left out.

--- a/crates/sagemast/benches/pick.rs
+++ b/crates/sagemast/benches/pick.rs
@@ -36,6 +36,7 @@
         limits: Limits { max_attempts: 4, probes: true, tick: 5.0, ..Limits::default() },
         safety: Safety { cold_share: 0.3, warm_up: 8_000.0, fall_multiple: 3.0, fall: 2_000.0 },
         sizes_listed: true,
+        worth_by_work: false,
         ..Settings::default()
     }
 }
--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -166,6 +166,8 @@
     pub safety: Safety,
     /// Whether listed weights are sizes: how many requests a server works on at once, give or take.
     pub sizes_listed: bool,
+    /// Whether a class's worth is that of a unit of work and not of a request.
+    pub worth_by_work: bool,
     /// How news of servers arrives.
     pub discovery: Discovery,
     /// How many retries there may be over all classes; [`RETRIES`] where nothing is said.
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -289,9 +289,10 @@
         faded(self.seen.room_scale, self.now - self.seen.room_at, ROOM_FORGETS)
     }
 
-    /// What a request of a class earns for its service time.
+    /// What a request of a class earns for its service time, which a worth that counts by work has in it.
     fn density(&self, class: ClassId) -> f64 {
-        self.settings.classes[class.0].worth.max(f64::MIN_POSITIVE) / self.seen.service[class.0].time.max(1.0)
+        let work = if self.settings.worth_by_work { 1.0 } else { self.seen.service[class.0].time.max(1.0) };
+        self.settings.classes[class.0].worth.max(f64::MIN_POSITIVE) / work
     }
 
     /// The share of its class's worth that a request earns. No sidecar can know which tenants are over their
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -32,6 +32,8 @@
     membership_mode: Membership,
     #[serde(default)]
     weights: String,
+    #[serde(default)]
+    counted_by: String,
     telemetry: Telemetry,
 }
 
@@ -154,6 +156,7 @@
                 fall_multiple: self.invariants.fall_multiple,
                 fall: self.invariants.fall,
             },
+            worth_by_work: self.counted_by == "work",
             sizes_listed: matches!(self.weights.as_str(), "nominal" | "rough"),
             discovery: match self.membership_mode {
                 Membership::Automatic => Discovery::Pushed,
--- a/crates/sagemast/tests/classes.rs
+++ b/crates/sagemast/tests/classes.rs
@@ -129,3 +129,29 @@
     };
     assert_eq!((sent(2), sent(300)), (50, 0));
 }
+
+/// Guards against a preference for what is already counted: where worth is that of a unit of work, two classes of the
+/// same worth are refused alike, however long their requests take.
+#[test]
+fn where_worth_counts_by_work_long_requests_are_not_worth_less() {
+    let text = |counted_by: &str| {
+        format!(
+            r#"{{"peers_total": 3, "counted_by": "{counted_by}", "membership_mode": "automatic", "telemetry": {{}},
+            "classes": [], "allowed": {{"max_attempts": 2}},
+            "invariants": {{"cold_share": 0.3, "warm_up": 1000.0, "fall_multiple": 3.0, "fall": 2000.0}}}}"#
+        )
+    };
+    for (counted_by, by_work) in [("work", true), ("request", false)] {
+        let config: sagemast::settings::Config = serde_json::from_str(&text(counted_by)).expect("settings");
+        assert_eq!(config.settings().worth_by_work, by_work, "{counted_by}");
+    }
+    let refused_of_long = |worth_by_work: bool| {
+        let (mut settings, ids) = fleet([10.0, 10.0]);
+        settings.worth_by_work = worth_by_work;
+        let told = play_with(settings, &ids, 50, [5.0, 2.0], [160.0, 40.0]);
+        let [long, short] = told.map(|(arrived, sent)| f64::from(sent) / f64::from(arrived));
+        long / short
+    };
+    let (by_work, by_request) = (refused_of_long(true), refused_of_long(false));
+    assert!(by_work > 0.85 && by_request < 0.85, "by work {by_work}, by request {by_request}");
+}
