--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -70,8 +70,6 @@
     /// Running median of its time at a mean server, network time included.
     pub time: Millis,
     pub samples: f64,
-    /// Share of its arrivals that was refused.
-    pub refused: f64,
     /// Retries and second copies that it has left.
     pub purse: Purse,
     /// The time after which an answer counts as late enough for a second copy.
@@ -80,7 +78,7 @@
 
 impl Service {
     pub fn new(time: Millis, purse: Purse) -> Service {
-        Service { time, samples: 0.0, refused: 0.0, purse, late: time }
+        Service { time, samples: 0.0, purse, late: time }
     }
 
     /// Steps the median towards a sample, at first in larger steps.
@@ -239,12 +237,16 @@
     pub pool: Pool,
     pub warmth: f64,
     pub projected: f64,
+    /// What it would hold with this request, by what it works on at once.
+    pub used: f64,
     /// How many times its own service time an answer is expected to take, for the queue before it.
     pub depth: f64,
     /// It turned a request away a moment ago.
     pub shut: bool,
     pub limit: f64,
     pub idle: bool,
+    /// How many times the mean server's service time an answer is expected to take.
+    pub crowding: f64,
     pub wait: Millis,
 }
 
