Tell in the log what became of each class, and how many answers came late

Need: a class that is hardly served did not show in the counters, which summed all; it had to be told from the lines about single requests, of which most are left out. Change: the line every five seconds tells the eight busiest classes beside the sum, and answers after their aim; the grounds of a refusal name the class. Measured: unit tests of the line, also with 300 classes.

--- a/crates/node/src/engine/counters.rs
+++ b/crates/node/src/engine/counters.rs
@@ -3,7 +3,7 @@
 
 use std::fmt::{Display, Formatter, Result};
 
-use sagemast::api::Outcome;
+use sagemast::api::{ClassId, Outcome};
 
 use super::transport::Counts;
 
@@ -24,21 +24,57 @@
     OUTCOMES.iter().find(|(known, _)| *known == outcome).map_or("?", |(_, name)| name)
 }
 
-/// Counts since the last line.
-#[derive(Default)]
-pub struct Counters {
-    /// Requests that came in.
+/// So many classes are told apart in a line, those with most arrivals first: operators may have hundreds of routes.
+const CLASSES_TOLD: usize = 8;
+
+/// What became of requests.
+#[derive(Default, Clone, Copy)]
+pub struct Tally {
+    /// Came in.
     pub arrived: u32,
     /// Answered with an upstream's answer.
     pub served: u32,
-    /// Refused, and how many of them without an attempt.
+    /// Of those, after the time within which the answer earns its worth.
+    pub late: u32,
+    /// Refused.
     pub refused: u32,
-    /// Refused before any attempt.
+    /// Not served, and never sent to an upstream.
     pub unsent: u32,
     /// Failed.
     pub failed: u32,
     /// Given up by their clients.
     pub left: u32,
+}
+
+impl Tally {
+    fn any(&self) -> bool {
+        self.arrived + self.served + self.refused + self.failed + self.left > 0
+    }
+
+    fn add(&mut self, other: &Tally) {
+        self.arrived += other.arrived;
+        self.served += other.served;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.unsent += other.unsent;
+        self.failed += other.failed;
+        self.left += other.left;
+    }
+}
+
+impl Display for Tally {
+    fn fmt(&self, f: &mut Formatter<'_>) -> Result {
+        let Tally { arrived, served, late, refused, unsent, failed, left } = self;
+        write!(f, "arrived={arrived} served={served} late={late} refused={refused} unsent={unsent}")?;
+        write!(f, " failed={failed} left={left}")
+    }
+}
+
+/// Counts since the last line.
+#[derive(Default)]
+pub struct Counters {
+    /// Requests, by class: one that is hardly served must show, though all together are served well.
+    classes: Vec<Tally>,
     /// Ended by the engine because the module had not.
     pub overdue: u32,
     /// Probes sent.
@@ -51,6 +87,14 @@
 }
 
 impl Counters {
+    /// The tally of a class.
+    pub fn of(&mut self, class: ClassId) -> &mut Tally {
+        if self.classes.len() <= class.0 {
+            self.classes.resize(class.0 + 1, Tally::default());
+        }
+        &mut self.classes[class.0]
+    }
+
     /// Counts how an attempt ended.
     pub fn ended(&mut self, outcome: Outcome) {
         if let Some(place) = OUTCOMES.iter().position(|(known, _)| *known == outcome) {
@@ -69,26 +113,40 @@
 
     /// Whether there is anything to tell.
     pub fn is_idle(&self) -> bool {
-        self.arrived == 0 && self.probes == 0 && self.ends.iter().all(|count| *count == 0)
+        self.classes.is_empty() && self.probes == 0 && self.ends.iter().all(|count| *count == 0)
     }
 }
 
-/// Counts together with those of the transport.
-pub struct Told<'a>(&'a Counters, &'a Counts);
+/// Counts together with those of the transport and the names of classes.
+pub struct Told<'a>(&'a Counters, &'a Counts, &'a [String]);
 
 impl Counters {
     /// The line about these counts.
-    pub fn told<'a>(&'a self, connections: &'a Counts) -> Told<'a> {
-        Told(self, connections)
+    pub fn told<'a>(&'a self, connections: &'a Counts, names: &'a [String]) -> Told<'a> {
+        Told(self, connections, names)
     }
 }
 
 impl Display for Told<'_> {
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
-        let Told(counters, connections) = self;
-        let Counters { arrived, served, refused, unsent, failed, left, overdue, .. } = counters;
-        write!(f, "requests arrived={arrived} served={served} refused={refused} unsent={unsent}")?;
-        write!(f, " failed={failed} left={left} overdue={overdue}; attempts")?;
+        let Told(counters, connections, names) = self;
+        let mut all = Tally::default();
+        counters.classes.iter().for_each(|class| all.add(class));
+        write!(f, "requests {all} overdue={}", counters.overdue)?;
+        let mut classes: Vec<_> =
+            counters.classes.iter().zip(*names).filter(|(tally, _)| tally.any()).collect();
+        // Where there is one, all have been told.
+        if classes.len() > 1 {
+            classes.sort_by_key(|(tally, _)| std::cmp::Reverse(tally.arrived));
+            for (tally, name) in classes.iter().take(CLASSES_TOLD) {
+                write!(f, "; {name} {tally}")?;
+            }
+            match classes.len().saturating_sub(CLASSES_TOLD) {
+                0 => {}
+                more => write!(f, "; {more} more classes")?,
+            }
+        }
+        write!(f, "; attempts")?;
         for ((_, name), count) in OUTCOMES.iter().zip(counters.ends).filter(|(_, count)| *count > 0) {
             write!(f, " {name}={count}")?;
         }
@@ -107,17 +165,45 @@
 mod tests {
     use super::*;
 
+    fn names(count: usize) -> Vec<String> {
+        (0..count).map(|number| format!("class-{number}")).collect()
+    }
+
     #[test]
     fn a_line_tells_the_counts_by_name() {
         let mut counters = Counters::default();
         assert!(counters.is_idle());
-        (counters.arrived, counters.refused) = (3, 1);
+        *counters.of(ClassId(0)) = Tally { arrived: 3, refused: 1, ..Tally::default() };
         counters.ended(Outcome::Reset);
         counters.ended(Outcome::Reset);
         let connections = Counts { reused: 7, ..Counts::default() };
-        let line = counters.told(&connections).to_string();
+        let line = counters.told(&connections, &names(1)).to_string();
         assert!(line.contains("arrived=3 ") && line.contains("refused=1 "), "{line}");
         assert!(line.contains("attempts reset=2;") && line.contains("reused=7 "), "{line}");
+        assert!(!line.contains("class-0"), "a single class is all there is: {line}");
         assert!(!counters.is_idle());
     }
+
+    /// Guards against a class that is hardly served while the sum looks well.
+    #[test]
+    fn classes_are_told_apart() {
+        let mut counters = Counters::default();
+        *counters.of(ClassId(2)) = Tally { arrived: 9, served: 9, late: 2, ..Tally::default() };
+        *counters.of(ClassId(0)) = Tally { arrived: 4, refused: 4, unsent: 3, ..Tally::default() };
+        let line = counters.told(&Counts::default(), &names(3)).to_string();
+        assert!(line.contains("requests arrived=13 served=9 late=2 refused=4 unsent=3 "), "{line}");
+        assert!(line.contains("; class-2 arrived=9 served=9 late=2 refused=0 "), "{line}");
+        assert!(line.contains("; class-0 arrived=4 served=0 late=0 refused=4 unsent=3 "), "{line}");
+        assert!(!line.contains("class-1"), "{line}");
+    }
+
+    /// Guards against lines as long as the operators' file.
+    #[test]
+    fn of_hundreds_of_classes_the_busiest_are_told() {
+        let mut counters = Counters::default();
+        (0..300).for_each(|class| counters.of(ClassId(class)).arrived = 1 + class as u32);
+        let line = counters.told(&Counts::default(), &names(300)).to_string();
+        assert!(line.contains("; class-299 arrived=300 ") && line.contains("; 292 more classes;"), "{line}");
+        assert!(!line.contains("class-291 "), "{line}");
+    }
 }
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -161,6 +161,7 @@
 
 /// A request without its final answer.
 struct Open {
+    class: ClassId,
     forward: Arc<Forward>,
     who: Arc<str>,
     reply: oneshot::Sender<Final>,
@@ -356,7 +357,7 @@
         if !counters.is_idle() {
             let clients = self.intake.connections.load(Ordering::Relaxed);
             let (open, out, idle) = (self.open.len(), self.sent.len(), self.transport.idle());
-            let told = counters.told(&connections);
+            let told = counters.told(&connections, self.routing.names());
             log::rare(format!("{told}; now open={open} out={out} clients={clients} idle={idle}"));
         }
     }
@@ -422,7 +423,7 @@
             Happening::ClientLeft(request) => {
                 let open = self.open.remove(&request);
                 if let Some(open) = &open {
-                    self.counters.left += 1;
+                    self.counters.of(open.class).left += 1;
                     self.timers.remove(&open.timer);
                 }
                 self.leave(request, open.as_ref().map(|open| &*open.forward), "its client left");
@@ -484,12 +485,12 @@
         let Asked { class, tenant, at, time_left, who, forward } = asked;
         let deadline = at + time_left.saturating_sub(IN_HAND);
         let timer = self.set_timer(at + time_left.saturating_sub(BACKSTOP), Timer::Backstop(request));
-        self.counters.arrived += 1;
         let (forward, trail) = (Arc::new(forward), String::new());
         let kept = forward.clone();
         let class = self.routing.class_of(class, kept.target.path(), &kept.headers);
+        self.counters.of(class).arrived += 1;
         let lease = Arc::new(());
-        let open = Open { forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
+        let open = Open { class, forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         self.event_of(Event::Arrived { request, class, tenant, time_left }, Some(&kept), None);
@@ -512,13 +513,18 @@
     fn finish(&mut self, request: RequestId, answer: Final) -> bool {
         let Some(open) = self.open.remove(&request) else { return false };
         self.timers.remove(&open.timer);
+        let aim = self.module.classes().get(open.class.0).map_or(Millis::INFINITY, |class| class.aim);
+        let tally = self.counters.of(open.class);
         match &answer {
-            Final::Served(..) => self.counters.served += 1,
-            Final::Refused(_) => self.counters.refused += 1,
-            Final::Failed => self.counters.failed += 1,
+            Final::Served(..) => {
+                tally.served += 1;
+                tally.late += u32::from(open.at.elapsed().as_secs_f64() * 1e3 > aim);
+            }
+            Final::Refused(_) => tally.refused += 1,
+            Final::Failed => tally.failed += 1,
         }
         if !matches!(answer, Final::Served(..)) {
-            self.counters.unsent += u32::from(open.sends == 0);
+            tally.unsent += u32::from(open.sends == 0);
             log::line(open.obituary(&answer));
         }
         // The client may have gone in this very moment.
--- a/crates/sagemast/src/explain.rs
+++ b/crates/sagemast/src/explain.rs
@@ -33,10 +33,11 @@
         let [warm, cold, trial, waiting] =
             [Pool::Warm, Pool::Cold, Pool::Trial, Pool::Waiting].map(|pool| self.fleet.count(&[pool]));
         let text = format!(
-            "request {} has no place: aim_left={:.0} room={:.2} tries={} warm={warm} cold={cold} \
+            "request {} of class {} has no place: aim_left={:.0} room={:.2} tries={} warm={warm} cold={cold} \
              trial={trial} ejected={waiting} drawn={drawn}; service={:.0} room_scale={:.2} refused={:.2} \
              pace={:.2} kappa={:.2} others={:.1}",
             request.0,
+            held.class.0,
             self.aim_left(held),
             self.room(),
             held.tries.len(),
