Look at two pairs in a large fleet, so that sidecars do not jam its last free servers

A request looked at four pairs; where most servers are full it went on until one of eight showed room by a report of seconds ago, as did the same request's repeats and all other sidecars. Line: the rounds of choose().

Change: two pairs, and more by the share that a sidecar sees of the load itself: four at six sidecars, as before.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -72,8 +72,10 @@
 const IDLE: f64 = 0.5;
 /// And so does one that holds no more than this with it, whatever its size is taken for.
 const IDLE_LEAST: f64 = 2.0;
-/// Pairs drawn for a request at the most: each costs the same, and past a few the fleet as a whole is full.
-const PAIRS: usize = 4;
+/// Pairs drawn for a request at the most: a near one and one of all, and so many more by the share that a
+/// sidecar sees of the load. The more are drawn in a full fleet, the likelier a server is found that only an
+/// old report calls free, and all sidecars find the same.
+const PAIRS: [f64; 2] = [2.0, 4.0];
 /// What late answers taught of room fades over this time.
 const ROOM_FORGETS: Millis = 20_000.0;
 /// A refused client is asked to stay away for up to this share of its aim.
@@ -198,7 +200,8 @@
         // A near server that has room answers sooner; its limit keeps it from being filled up.
         let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
-        for round in 0..PAIRS {
+        let pairs = (PAIRS[0] + PAIRS[1] * (self.seen_alone() - 1.0)).round() as usize;
+        for round in 0..pairs {
             let from = match within {
                 From::Ready if round == 0 && prefer_near => From::Near,
                 // What a cold pair must not be sent yet goes to warm servers: the client would only ask
