Draw again among warm servers where a pair was drawn in vain for a cold one

Cause: with two pairs the last round is the one of all servers; where it drew cold ones that must not be sent more yet, the request was refused beside warm servers with room.

Change: such a round does not count; the next one is among warm servers, as with four pairs. The test refuses without it.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -201,7 +201,11 @@
         let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
         let pairs = (PAIRS[0] + PAIRS[1] * (self.seen_alone() - 1.0)).round() as usize;
-        for round in 0..pairs {
+        for round in 0.. {
+            // One that a cold pair was drawn in vain for does not count.
+            if round >= pairs + usize::from(cold_drawn) {
+                break;
+            }
             let from = match within {
                 From::Ready if round == 0 && prefer_near => From::Near,
                 // What a cold pair must not be sent yet goes to warm servers: the client would only ask
--- a/crates/sagemast/tests/rules.rs
+++ b/crates/sagemast/tests/rules.rs
@@ -333,3 +333,24 @@
     }
     assert!((1..30).contains(&to_cold), "{to_cold} of 60 to the cold ones");
 }
+
+/// Guards against the same where two pairs are all that is drawn: a full near one and one in vain for a cold server left
+/// a request refused beside an idle warm server in another zone.
+#[test]
+fn a_pair_drawn_in_vain_for_a_cold_server_is_not_the_last() {
+    let mut settings = Settings { sidecars: 300, crossing_fee: 0.02, sizes_listed: true, ..settings() };
+    settings.safety.warm_up = 100_000.0;
+    let mut stage = Stage::new(settings, vec![listing(1)]);
+    let far = |id| Listing { zone: ZoneId(1), ..listing(id) };
+    let cold = |id| Listing { started: Some(stage.now), ..far(id) };
+    stage.event(Event::Listed(ListNews::Changed(vec![cold(2), cold(3), far(4)])));
+    for _ in 0..100 {
+        stage.now += 20.0;
+        for (id, held) in [(1, 6.0), (2, 0.0), (3, 0.0), (4, 0.0)] {
+            stage.report(id, held, 0.9);
+        }
+        let (request, actions) = stage.arrive(ONCE);
+        let to = sent_to(&actions).expect("the warm one of the other zone is idle");
+        stage.finish(request, 0, to, Outcome::Ok, 10.0);
+    }
+}
