Bound cold servers by their allowance, not by what warm servers hold

Cause: `fits` in `choose`. A cold server that a sidecar has not heard of is taken to hold the fleet's mean, which is what warm ones hold, and its slowness counts as crowding: at a third of its capacity it is "crowded" threefold when it stands idle. Among 100 sidecars hardly any has heard of it, so that all leave it alone until it is warm. Its allowance, by chance, bounds it anyway.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -196,7 +196,9 @@
         let most = self.seen_alone() * self.room_scale();
         let favoured = self.rng.rand_float() < self.favour(held);
         // An idle one always has room: a service time learnt in a jam would lock everyone out.
-        let fits = |to: &Candidate| to.wait <= left && to.crowding <= room && to.used <= most * to.limit;
+        // What bounds a cold one is its allowance: unheard of, it seems to hold what warm ones hold.
+        let bounded = |to: &Candidate| to.crowding <= room && to.used <= most * to.limit;
+        let fits = |to: &Candidate| to.wait <= left && (to.pool == Pool::Cold || bounded(to));
         // A near server that has room answers sooner; its limit keeps it from being filled up.
         let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
--- a/crates/sagemast/tests/rules.rs
+++ b/crates/sagemast/tests/rules.rs
@@ -296,6 +296,36 @@
     }
 }
 
+/// Guards against new servers that stand idle because nobody has heard of them: in a large fleet they were taken to hold
+/// what warm ones hold, and by their slowness as crowded, at each sidecar until a probe of its own came back.
+#[test]
+fn a_cold_server_that_was_not_heard_of_is_sent_its_share() {
+    const SIDECARS: u32 = 100;
+    let mut settings = Settings { sidecars: SIDECARS, sizes_listed: true, ..settings() };
+    settings.classes.iter_mut().for_each(|class| class.aim = 450.0);
+    let start = 100_000.0;
+    let sized = |id: u64| Listing { weight: 3.0, ..listing(id) };
+    let old: Vec<Listing> = (1..=4).map(sized).collect();
+    let new: Vec<Listing> = (5..=10).map(|id| Listing { started: Some(start), ..sized(id) }).collect();
+    let mut to_cold = 0;
+    for sidecar in 0..SIDECARS {
+        let mut stage = Stage::seeded(settings.clone(), old.clone(), u64::from(sidecar));
+        stage.now = start - 2_000.0;
+        // Warm servers have all cores in use and a request waiting; nothing is ever heard of the cold ones.
+        stage.settle(&[1, 2, 3, 4], 4.0, 0.95);
+        stage.now = start + 5_000.0;
+        stage.event(Event::Listed(ListNews::Changed(new.clone())));
+        for _ in 0..10 {
+            let (request, actions) = stage.arrive(ONCE);
+            if let Some(to) = sent_to(&actions) {
+                to_cold += u32::from(to.0 > 4);
+                stage.finish(request, 0, to, Outcome::Ok, 150.0);
+            }
+        }
+    }
+    assert!(to_cold > 100, "{to_cold} of 1000 to the six cold ones");
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_cold_again() {
     let mut stage = Stage::new(settings(), vec![listing(1)]);
