Leave the sets in order where a list does not change the subset

Change: only where the highest number of the subset moves. Zones and cells are looked up in one place, which makes room for it.

The property of the sets against a scan holds.

--- a/crates/sagemast/src/fleet.rs
+++ b/crates/sagemast/src/fleet.rs
@@ -54,7 +54,7 @@
 pub(crate) struct Fleet {
     #[serde(with = "indexmap::map::serde_seq")]
     servers: IndexMap<UpstreamId, Upstream, FxBuildHasher>,
-    /// Servers with a higher number than this are not of our subset and stand in no set.
+    /// Servers with a higher number than this are not of our subset and stand in no set; the salt tells numbers.
     highest: Option<u64>,
     salt: u64,
     /// By [`Pool`]; `[0]` those of our zone, `[1]` the others.
@@ -109,14 +109,12 @@
             From::Warm => (&self.pools, 1),
             From::Ready => (&self.pools, POOLS - 1),
             From::Everyone => (&self.pools, POOLS),
-            From::Zone(zone) => {
-                sets[0] = self.zones.get(&zone);
-                return sets;
-            }
-            From::Cell(cell) => {
-                sets[0] = self.cells.get(&cell);
-                return sets;
-            }
+            From::Zone(_) | From::Cell(_) => (&[], 0),
+        };
+        sets[0] = match from {
+            From::Zone(zone) => self.zones.get(&zone),
+            From::Cell(cell) => self.cells.get(&cell),
+            _ => None,
         };
         for (place, set) in sides.iter().flat_map(|side| &side[..pools]).enumerate() {
             sets[place] = Some(set);
@@ -159,10 +157,12 @@
         let serving = self.servers.iter().filter(|(_, server)| server.serving);
         let mut numbers: Vec<u64> = serving.map(|(id, _)| self.number(*id)).collect();
         numbers.sort_unstable();
-        self.highest = numbers.get(count.saturating_sub(1)).copied();
-        for id in self.servers.keys().copied().collect::<Vec<_>>() {
-            self.take_out(id);
-            self.put_in(id, home, now, safety);
+        let highest = numbers.get(count.saturating_sub(1)).copied();
+        if std::mem::replace(&mut self.highest, highest) != highest {
+            for id in self.servers.keys().copied().collect::<Vec<_>>() {
+                self.take_out(id);
+                self.put_in(id, home, now, safety);
+            }
         }
     }
 
