Let only first tries pay for probes

The module was not told which arrivals are repeats, although the protocol does: `X-Retried: 1`, bit 2 on the simulator's wire. The more was refused, the more all sidecars asked.

Change: `Event::Arrived` tells a repeat, fronts and the simulator's host pass it on, and a repeat pays for no probe. Where clients do not mark repeats nothing changes; captures without the mark are still read.

The test counts probes of clients that come again three times: no more than those of first tries.

--- a/crates/node/src/capture/mod.rs
+++ b/crates/node/src/capture/mod.rs
@@ -419,7 +419,10 @@
                 self.requests += 1;
                 let class = ClassId(self.dice.rand_range(0..2) as usize);
                 let (request, tenant) = (RequestId(self.requests), TenantId(0));
-                self.event(Event::Arrived { request, class, tenant, time_left: 480.0 }, Vec::new());
+                self.event(
+                    Event::Arrived { request, class, tenant, time_left: 480.0, repeat: false },
+                    Vec::new(),
+                );
                 while !self.out.is_empty() && self.dice.rand_float() < 0.7 {
                     let (request, attempt, upstream) = self.out.remove(0);
                     let outcome = match self.dice.rand_range(0..10) {
--- a/crates/node/src/engine/message.rs
+++ b/crates/node/src/engine/message.rs
@@ -27,6 +27,11 @@
         self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or("?")
     }
 
+    /// Whether its client says that it tries again.
+    pub fn is_repeat(&self) -> bool {
+        self.headers.get("x-retried").is_some_and(|mark| mark.as_bytes().trim_ascii() == b"1")
+    }
+
     /// How long its client said that it waits.
     pub fn timeout_ms(&self) -> Option<u64> {
         self.headers.get("x-timeout-ms")?.to_str().ok()?.trim().parse().ok()
@@ -91,3 +96,25 @@
     }
     kept
 }
+
+#[cfg(test)]
+mod tests {
+    use hyper::header::HeaderValue;
+
+    use super::*;
+
+    #[test]
+    fn a_client_marks_what_it_tries_again() {
+        for (mark, repeat) in
+            [(None, false), (Some("1"), true), (Some(" 1"), true), (Some("0"), false), (Some("11"), false)]
+        {
+            let mut headers = HeaderMap::new();
+            headers.extend(mark.map(|mark| {
+                (hyper::header::HeaderName::from_static("x-retried"), HeaderValue::from_static(mark))
+            }));
+            let forward =
+                Forward { method: Method::GET, target: Uri::from_static("/a"), headers, body: Bytes::new() };
+            assert_eq!(forward.is_repeat(), repeat, "{mark:?}");
+        }
+    }
+}
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -493,7 +493,8 @@
         let open = Open { class, forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
-        self.event_of(Event::Arrived { request, class, tenant, time_left }, Some(&kept), None);
+        let repeat = kept.is_repeat();
+        self.event_of(Event::Arrived { request, class, tenant, time_left, repeat }, Some(&kept), None);
     }
 
     /// Tells the module that a request is over without it, and ends what is out for it.
--- a/crates/sagemast/benches/pick.rs
+++ b/crates/sagemast/benches/pick.rs
@@ -72,7 +72,8 @@
 /// A request comes, is sent, answered, and one server reports.
 fn a_request(balancer: &mut Balancer, number: u64, size: u64, out: &mut Vec<Action>) {
     let (now, request) = (10.0 + number as f64, RequestId(number));
-    let arrived = Event::Arrived { request, class: ClassId(0), tenant: TenantId(0), time_left: 1_500.0 };
+    let arrived =
+        Event::Arrived { request, class: ClassId(0), tenant: TenantId(0), time_left: 1_500.0, repeat: false };
     balancer.handle(now, arrived, out);
     let sent = out.iter().find_map(|action| match action {
         Action::Send { upstream, .. } => Some(*upstream),
--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -322,6 +322,9 @@
         tenant: TenantId,
         /// How long the client waits.
         time_left: Millis,
+        /// Whether the client says that it tries again.
+        #[serde(default)]
+        repeat: bool,
     },
     /// An attempt ended; each [`Action::Send`] gets this once.
     Finished(Finished),
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -36,8 +36,8 @@
 const KAPPA_STEP: f64 = 0.005;
 /// How many reports a listed size counts for.
 const SIZE_PRIOR: f64 = 20.0;
-/// An arrival pays for probes with this share of its worth, and so many are saved up: all sidecars ask the
-/// same servers, which turn away what is too much, so that more of them must ask less each.
+/// A first try, by which the platform prices probes, pays for them with this share of its worth, and so many
+/// are saved up: all sidecars ask the same servers, so that more of them must ask less each.
 const PROBES_WORTH: f64 = 0.02;
 const PROBES_SAVED: f64 = 8.0;
 /// Below this reported utilisation in-flight / utilisation is mostly rounding.
@@ -144,7 +144,9 @@
         self.now = self.now.max(now);
         self.fleet.pass_time(self.now, &self.settings.safety);
         match event {
-            Event::Arrived { request, class, tenant, time_left } => {
+            Event::Arrived { request, class, tenant, time_left, repeat } => {
+                let earned = if repeat { 0.0 } else { PROBES_WORTH / self.settings.probe_fee };
+                self.seen.probes = (self.seen.probes + earned).min(PROBES_SAVED);
                 self.arrived(request, Held::new(class, tenant, self.now, time_left.max(0.0)), out)
             }
             Event::Finished(end) => {
@@ -169,7 +171,6 @@
         held.deadline = held.deadline.min(held.arrived + class.policy.overall.map_or(f64::MAX, |all| all.0));
         self.seen.service[held.class.0].purse.earn(class.budgets());
         self.seen.purse.earn(self.settings.budgets());
-        self.seen.probes = (self.seen.probes + PROBES_WORTH / self.settings.probe_fee).min(PROBES_SAVED);
         for (number, share) in self.seen.tenant_shares.iter_mut().enumerate() {
             *share += SMOOTH_ALL * (f64::from(u8::from(number == held.tenant.0)) - *share);
         }
--- a/crates/sagemast/tests/any_order.rs
+++ b/crates/sagemast/tests/any_order.rs
@@ -149,7 +149,13 @@
                 let request = RequestId(number);
                 let seen = Seen { class, deadline: now + time_left, tries: Vec::new(), ended: false };
                 self.requests.insert(request, seen);
-                Event::Arrived { request, class: ClassId(class), tenant: TenantId(self.pick(3)), time_left }
+                Event::Arrived {
+                    request,
+                    class: ClassId(class),
+                    tenant: TenantId(self.pick(3)),
+                    time_left,
+                    repeat: false,
+                }
             }
             4..=6 if !out.is_empty() => {
                 let (request, at) = out[self.pick(out.len())];
--- a/crates/sagemast/tests/checkpoint.rs
+++ b/crates/sagemast/tests/checkpoint.rs
@@ -41,6 +41,7 @@
                 class: ClassId(dice.rand_range(0..5) as usize),
                 tenant: TenantId(0),
                 time_left: 500.0,
+                repeat: false,
             },
         };
         let mut again = Vec::new();
--- a/crates/sagemast/tests/common/mod.rs
+++ b/crates/sagemast/tests/common/mod.rs
@@ -98,9 +98,14 @@
 
     /// A request comes in; its id and what was done.
     pub fn arrive(&mut self, class: ClassId) -> (RequestId, Vec<Action>) {
+        self.arrive_again(class, false)
+    }
+
+    /// The same, and whether its client says that it tries again.
+    pub fn arrive_again(&mut self, class: ClassId, repeat: bool) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let request = RequestId(self.next);
-        let event = Event::Arrived { request, class, tenant: TenantId(0), time_left: 500.0 };
+        let event = Event::Arrived { request, class, tenant: TenantId(0), time_left: 500.0, repeat };
         let actions = self.event(event);
         (request, actions)
     }
--- a/crates/sagemast/tests/health.rs
+++ b/crates/sagemast/tests/health.rs
@@ -174,7 +174,7 @@
         let (class, tenant) = ([REPEATABLE, BY_ALL][(number / 16 % 2) as usize], u64::from(number % 5 == 0));
         let request = RequestId(number);
         let tenant = TenantId(tenant as usize);
-        let actions = stage.event(Event::Arrived { request, class, tenant, time_left: 500.0 });
+        let actions = stage.event(Event::Arrived { request, class, tenant, time_left: 500.0, repeat: false });
         let count: &mut (u32, u32) = refusals.entry((class, tenant)).or_default();
         count.1 += 1;
         count.0 += u32::from(refused(&actions));
--- a/crates/sagemast/tests/pick.rs
+++ b/crates/sagemast/tests/pick.rs
@@ -154,6 +154,7 @@
                 class: ClassId(id as usize % 5),
                 tenant: TenantId(0),
                 time_left: 400.0,
+                repeat: false,
             };
             balancer.handle(id as f64 * 7.0, event, &mut all);
         }
@@ -277,7 +278,13 @@
     let mut stage = Stage::new(settings(), vec![listing(1), listing(2)]);
     stage.settle(&[1, 2], 2.0, 0.5);
     stage.now += 5_000.0;
-    let event = Event::Arrived { request: RequestId(70), class: ONCE, tenant: TenantId(0), time_left: 500.0 };
+    let event = Event::Arrived {
+        request: RequestId(70),
+        class: ONCE,
+        tenant: TenantId(0),
+        time_left: 500.0,
+        repeat: false,
+    };
     let actions = stage.event(event);
     assert!(sent_to(&actions).is_some(), "{actions:?}");
     for id in [1, 2] {
--- a/crates/sagemast/tests/rules.rs
+++ b/crates/sagemast/tests/rules.rs
@@ -123,7 +123,7 @@
 }
 
 fn arrival(id: u64, class: ClassId, time_left: Millis) -> Event {
-    Event::Arrived { request: RequestId(id), class, tenant: TenantId(0), time_left }
+    Event::Arrived { request: RequestId(id), class, tenant: TenantId(0), time_left, repeat: false }
 }
 
 #[test]
--- a/crates/sagemast/tests/scale.rs
+++ b/crates/sagemast/tests/scale.rs
@@ -122,13 +122,13 @@
 /// many times the reports that these give out, and paid for each.
 #[test]
 fn probes_are_held_to_what_arrivals_pay_for_them() {
-    let asked = |fee: f64| {
+    let asked_with = |fee: f64, repeats: u32| {
         let servers: Vec<_> = (0..200).map(listing).collect();
         let mut stage = Stage::new(Settings { probe_fee: fee, ..settings() }, servers);
         let mut probes = 0;
-        for _ in 0..400 {
-            stage.now += 20.0;
-            let (request, actions) = stage.arrive(ONCE);
+        for number in 0..400 * (1 + repeats) {
+            stage.now += 20.0 / f64::from(1 + repeats);
+            let (request, actions) = stage.arrive_again(ONCE, number % (1 + repeats) > 0);
             probes += actions.iter().filter(|action| matches!(action, Action::Probe(_))).count();
             if let Some(to) = sent_to(&actions) {
                 stage.finish(request, 0, to, Outcome::Ok, 20.0);
@@ -136,6 +136,9 @@
         }
         probes
     };
+    let asked = |fee| asked_with(fee, 0);
+    let again = asked_with(0.08, 3);
+    assert!((90..=100).contains(&again), "clients that come again three times pay no more: {again}");
     assert!((90..=100).contains(&asked(0.08)), "a quarter of a probe for each arrival: {}", asked(0.08));
     assert!(asked(0.0) > 500, "where probes cost nothing, each pair is asked: {}", asked(0.0));
     assert!(asked(0.0094) > 500, "two for each arrival are paid for here: {}", asked(0.0094));
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -11,6 +11,9 @@
 use sagemast::settings::{Column, report};
 use wire::*;
 
+/// The bit of an arrival that marks a client's repeat.
+const REPEAT: u64 = 2;
+
 /// One sidecar's module, and how its load reports are laid out.
 struct Instance {
     balancer: Balancer,
@@ -99,11 +102,12 @@
                 SyncMode::Unavailable => ListNews::Unavailable,
             })
         }
-        WireEvent::Arrival { xid, owner, time_left, category } => Event::Arrived {
+        WireEvent::Arrival { xid, owner, state_bits, time_left, category } => Event::Arrived {
             request: RequestId(xid.0),
             class: ClassId(category),
             tenant: TenantId(owner),
             time_left,
+            repeat: state_bits & REPEAT != 0,
         },
         WireEvent::Pong { upstream, disposition, server_stats } => Event::Probed {
             upstream: UpstreamId(upstream),
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -36,6 +36,8 @@
         xid: Hex,
         #[serde(default)]
         owner: usize,
+        #[serde(default)]
+        state_bits: u64,
         time_left: f64,
         category: usize,
     },
