Let limits go by the sidecars that share a server, not by the whole fleet

Cause: `seen_alone` in brain.rs, on which limits, crowding and the number of pairs slide, takes what a sidecar sees of a server's load as one in all sidecars. Since subsets it is one in those that share the server: 32 in most large fleets, more only where the least subset counts.

Change: the number of sharers, reckoned with the subset at each list, takes the place of the number of sidecars. For up to 32 sidecars it is the same number. One test's second stretch is longer, since 30 requests told its ratio by chance.

`limits_go_by_the_sidecars_that_share_a_server` fails without it.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -64,7 +64,7 @@
 const FAVOUR_HALF: f64 = 0.1;
 const FAVOUR_LEAST: f64 = 0.7;
 /// A server is sent no more than it works on at once and a share of that to wait there, and its wait may be
-/// longer by that share: this one for a sidecar by itself, less the more others send there unseen. What waits
+/// longer by that share: this one for a sidecar by itself, less the more share it and send unseen. What waits
 /// at a server slows it down; what waits at a client does not.
 const WAITING: f64 = 1.5;
 const UNSEEN: f64 = 0.7;
@@ -185,8 +185,7 @@
     fn place(&mut self, request: RequestId, out: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&request).cloned() else { return };
         let to = self.choose(request, &held, out);
-        let refused = f64::from(u8::from(to.is_none()));
-        self.seen.refused += SMOOTH_ALL * (refused - self.seen.refused);
+        self.seen.refused += SMOOTH_ALL * (f64::from(u8::from(to.is_none())) - self.seen.refused);
         match to {
             Some(to) => self.send(request, to, self.fleet.serving() > 1, out),
             None => self.give_up(request, out),
@@ -205,8 +204,6 @@
         // What bounds a cold one is its allowance: unheard of, it seems to hold what warm ones hold.
         let bounded = |to: &Candidate| to.crowding <= room && to.used <= most * to.limit;
         let fits = |to: &Candidate| to.wait <= left && (to.pool == Pool::Cold || bounded(to));
-        // A near server that has room answers sooner; its limit keeps it from being filled up.
-        let prefer_near = self.settings.crossing_fee > 0.0;
         let (mut last, mut cold_drawn) = (None, false);
         let pairs = (PAIRS[0] + PAIRS[1] * (self.seen_alone() - 1.0)).round() as usize;
         for round in 0.. {
@@ -215,14 +212,14 @@
                 break;
             }
             let from = match within {
-                From::Ready if round == 0 && prefer_near => From::Near,
+                // A near server that has room answers sooner; its limit keeps it from being filled up.
+                From::Ready if round == 0 && self.settings.crossing_fee > 0.0 => From::Near,
                 // What a cold pair must not be sent yet goes to warm servers: the client would only ask
                 // again.
                 From::Ready if cold_drawn => From::Warm,
                 within => within,
             };
-            let rng = &mut self.rng;
-            let Some(ids) = self.fleet.pair(from, |count| rng.rand_range(0..count)) else { continue };
+            let Some(ids) = self.fleet.pair(from, |count| self.rng.rand_range(0..count)) else { continue };
             let [Some(one), Some(other)] = ids.map(|id| self.look(id, held)) else { continue };
             let pair = [one, other];
             last = Some(pair);
@@ -286,7 +283,7 @@
     /// How much more than where nearly all comes from others may be sent to a server, since more of what it
     /// holds is known: own sends at once and exactly, others' by reports a second old and the fleet's mean.
     fn seen_alone(&self) -> f64 {
-        1.0 + WAITING / f64::from(self.settings.sidecars.max(1)).powf(UNSEEN)
+        1.0 + WAITING / self.seen.sharers.max(1.0).powf(UNSEEN)
     }
 
     /// The chance that a request may go to a server that is not idle: what earns less than the usual for its
@@ -429,15 +426,14 @@
         let Some(held) = self.requests.get(&request) else { return };
         let timeout = self.timeout(held, to, others);
         let (class, attempt) = (held.class, AttemptNo(held.tries.len() as u32));
-        let sent = self.now;
         let may = self.settings.limits.duplicates && held.tries.is_empty();
         if let Some(copy) = self.settings.classes[class.0].policy.second_copy.filter(|_| may) {
             let after = copy.after.ms(self.seen.service[class.0].late);
-            out.push(Action::WakeAt { at: sent + after, token: request.0 << 1 | 1 });
+            out.push(Action::WakeAt { at: self.now + after, token: request.0 << 1 | 1 });
         }
         let Some(upstream) = self.fleet.get_mut(to.id) else { return };
-        upstream.outstanding.push(Outstanding { request, attempt, class, sent, to });
-        let this = Try::new(to.id, upstream, sent);
+        upstream.outstanding.push(Outstanding { request, attempt, class, sent: self.now, to });
+        let this = Try::new(to.id, upstream, self.now);
         if let Some(held) = self.requests.get_mut(&request) {
             held.tries.push(this);
         }
@@ -468,9 +464,9 @@
         let Some(this) = held.tries.get_mut(end.attempt.0 as usize).filter(|t| t.out) else { return };
         this.out = false;
         this.may_have_run = outcome.may_have_run();
-        let full = outcome == Outcome::Full;
         let late = self.now > held.arrived + self.settings.classes[held.class.0].aim;
-        let step = if full { 0.0 } else { SMOOTH_ALL } * (LATE_TARGET - f64::from(u8::from(late)));
+        let step = if outcome == Outcome::Full { 0.0 } else { SMOOTH_ALL }
+            * (LATE_TARGET - f64::from(u8::from(late)));
         self.seen.room_scale = (self.room_scale() * (1.0 + step)).clamp(0.25, 1.0);
         self.seen.room_at = self.now;
         if end.closed || outcome == Outcome::Ok {
@@ -701,7 +697,9 @@
             }
         }
         let serving = self.fleet.all().filter(|server| server.serving).count() as f64;
-        let subset = (SHARED_BY * serving / f64::from(self.settings.sidecars.max(1))).max(SUBSET_LEAST);
+        let sidecars = f64::from(self.settings.sidecars.max(1));
+        let subset = (SHARED_BY * serving / sidecars).max(SUBSET_LEAST);
+        self.seen.sharers = sidecars * (subset / serving).min(1.0);
         self.fleet.keep_subset(subset as usize, self.settings.zone, self.now, &self.settings.safety);
         let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
         self.seen.ask_wait =
--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -143,6 +143,8 @@
     /// server was not heard of.
     pub others: f64,
     pub others_at: Millis,
+    /// How many sidecars share a server, this one included.
+    pub sharers: f64,
     /// Share of the arrivals that no server had room for.
     pub refused: f64,
     /// Probes that arrivals have earned and that are not spent yet.
--- a/crates/sagemast/tests/classes.rs
+++ b/crates/sagemast/tests/classes.rs
@@ -72,11 +72,11 @@
     }
 }
 
-/// What becomes of the second half of a minute of this.
+/// What becomes of two minutes of this after half a minute: long enough for a hundred requests of the rarest class.
 fn play_with(settings: Settings, ids: &[u64], cheap: u64, held: [f64; 2], service: [Millis; 2]) -> Told {
     let mut world = World::new(settings, ids);
     world.play(600, cheap, held, service);
-    world.play(600, cheap, held, service)
+    world.play(2_400, cheap, held, service)
 }
 
 fn play(worths: [f64; 2], cheap: u64, held: [f64; 2], service: [Millis; 2]) -> Told {
@@ -149,6 +149,23 @@
     assert_eq!((sent(2), sent(300)), (50, 0));
 }
 
+/// Guards against limits for a fleet that shares all its servers where only some sidecars share each: more sidecars and servers
+/// alike leave a sidecar what it sees of the load, and more sidecars at the same servers do not.
+#[test]
+fn limits_go_by_the_sidecars_that_share_a_server() {
+    let sent = |sidecars: u32, servers: u64| {
+        let settings = Settings { sidecars, sizes_listed: true, ..settings() };
+        let list = (0..servers).map(|id| Listing { weight: 10.0, ..listing(id) }).collect();
+        let mut stage = Stage::new(settings, list);
+        // With one more they hold 1.1 times what they work on.
+        stage.settle(&(0..servers).collect::<Vec<_>>(), 10.0, 1.0);
+        let arrived: Vec<_> = (0..10).map(|_| stage.arrive(REPEATABLE)).collect();
+        arrived.iter().filter(|(_, actions)| sent_to(actions).is_some()).count()
+    };
+    assert_eq!((sent(32, 60), sent(100, 60), sent(300, 600)), (10, 10, 10), "32 sidecars share a server");
+    assert_eq!((sent(1_000, 60), sent(5_000, 40)), (0, 0), "hundreds do");
+}
+
 /// Guards against a preference for what is already counted: where worth is that of a unit of work, two classes of the
 /// same worth are refused alike, however long their requests take.
 #[test]
