Give no request that comes after SIGTERM more time than the process has

Cause: seen with deadlines of 8 s: a request 1.2 s after SIGTERM was answered after 4.2 s, SIGKILL comes after 3.7 s, so it would be lost. The listener accepts while anything is held, and handle() in fronts/http/mod.rs granted the client's whole time; ruled out: open connections, which are closed by then. Change: the front learns at SIGTERM when the last answers are due and cuts time by it; none left is refused at once.

--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -16,7 +16,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_blocking;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use node::config::Config;
 use node::engine::{Engine, Names, News, Orders, Surroundings, Ways};
@@ -39,6 +39,10 @@
 const STILL_COMING: Duration = Duration::from_millis(550);
 /// After the longest deadline and this, SIGKILL is close.
 const LAST_MARGIN: Duration = Duration::from_millis(640);
+/// A longer deadline does not put SIGKILL off.
+const LONGEST_COUNTED: Duration = Duration::from_secs(3);
+/// The last answers take this long to be written.
+const LAST_ANSWERS: Duration = Duration::from_millis(40);
 
 fn main() -> ExitCode {
     let Cli { command, run } = Cli::parse();
@@ -140,7 +144,7 @@
     let engine = Engine::new(config.settings, seed, table, surroundings, operator.capture.as_ref());
     let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
     let doors = Doors { plain: listener, tls };
-    let serving = tokio::spawn(http::serve(doors, front, clients));
+    let serving = tokio::spawn(http::serve(doors, front.clone(), clients));
 
     loop {
         tokio::select! {
@@ -155,6 +159,7 @@
             }
         }
     }
+    front.end_by(Instant::now() + longest.min(LONGEST_COUNTED) + LAST_MARGIN - LAST_ANSWERS);
     phase.send_replace(Phase::Leaving);
     sleep(STILL_COMING).await;
     phase.send_replace(Phase::Closing);
--- a/crates/harelock/tests/sidecar.rs
+++ b/crates/harelock/tests/sidecar.rs
@@ -357,6 +357,25 @@
     assert!(sidecar.wait_exit().success());
 }
 
+#[test]
+fn what_comes_late_after_sigterm_is_answered_before_sigkill() {
+    let upstream = Upstream::new(|m| if m.line.starts_with("POST") { Deed::Silence } else { Deed::ok("up") });
+    // Deadlines of 8 s do not put SIGKILL off: it comes 3.7 s after SIGTERM.
+    let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+    let mut held = Client::to(sidecar.address);
+    held.send("bill", 8_000);
+    until("it is held", || upstream.requests().len() == 1);
+    sidecar.signal("-TERM");
+    let told = std::time::Instant::now();
+    // It is clients that decide when to come: this one does when nobody is expected any more.
+    std::thread::sleep(Duration::from_millis(1_200));
+    let mut late = Client::to(sidecar.address);
+    late.send("bill", 8_000);
+    let answer = late.read().expect("a whole answer, not the end of the connection");
+    assert!(answer.status() >= 500, "{}", answer.line);
+    assert!(told.elapsed() < Duration::from_millis(3_700), "answered after {:?}", told.elapsed());
+}
+
 #[test]
 fn after_sigkill_the_next_start_takes_the_same_address() {
     let upstream = Upstream::new(|_| Deed::ok("served"));
--- a/crates/node/src/fronts/http/mod.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -3,8 +3,8 @@
 use std::convert::Infallible;
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
@@ -59,6 +59,8 @@
     lists: Option<AddressLists>,
     /// Where requests are counted, if they are.
     figures: Option<Arc<Figures>>,
+    /// Once the sidecar ends: when its last answers are due.
+    last_answers: OnceLock<Instant>,
 }
 
 /// Who is at the other end of a connection, as far as the operators' features tell.
@@ -94,7 +96,18 @@
         lists: Option<AddressLists>,
         figures: Option<Arc<Figures>>,
     ) -> Front {
-        Front { intake, phase, lists, figures }
+        Front { intake, phase, lists, figures, last_answers: OnceLock::new() }
+    }
+
+    /// From now on no answer is owed later than this: the process will be gone by then, and a request that comes on
+    /// a connection that is still open would be lost with it. The first word counts.
+    pub fn end_by(&self, last_answers: Instant) {
+        let _ = self.last_answers.set(last_answers);
+    }
+
+    /// How much of the time that a client grants there is.
+    fn granted(&self, at: Instant, time_left: Duration) -> Duration {
+        self.last_answers.get().map_or(time_left, |end| time_left.min(end.saturating_duration_since(at)))
     }
 
     /// Counts a request in that has come as far as its head.
@@ -361,6 +374,10 @@
     if let Some(in_flight) = in_flight {
         in_flight.came_whole(at);
     }
+    let time_left = front.granted(at, time_left);
+    if time_left.is_zero() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "the sidecar ends");
+    }
     // A client may name the whole URL; upstreams are asked for the path in any case.
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let forward = Forward { method: head.method, target, headers: end_to_end(&head.headers), body };
