Write the log as events of tracing, put into words only where a line is written

The log was our own: each caller built its text, and most of the texts were thrown away, since a second holds twenty lines and lines come by the hundred while servers fail. Now callers use `tracing`; a layer leaves warnings out before they are put into words, and `tracing-subscriber` formats what is left. The level says who is behind a line: what others can cause is a warning and limited, what is rare by itself is not.

--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
+use tracing::{error, info};
 
 use node::config::Config;
 use node::engine::{Engine, Names, News, Orders, Surroundings, Ways};
@@ -45,6 +46,7 @@
     let command = command.unwrap_or(Command::Run(run));
     // What could not be carried out must not look like a replay that found differences.
     let trouble = if matches!(command, Command::Run(_)) { 1 } else { 2 };
+    log::init();
     let mut out = std::io::stdout();
     let done = match command {
         Command::Run(run) => serve(run.operator.as_deref()).map(|()| ExitCode::SUCCESS),
@@ -60,7 +62,7 @@
     };
     let code = done.unwrap_or_else(|error| {
         // All that is wrong with a file, a line each.
-        format!("{error:#}").lines().for_each(log::rare);
+        format!("{error:#}").lines().for_each(|line| error!("{line}"));
         ExitCode::from(trouble)
     });
     log::finish();
@@ -110,7 +112,7 @@
         Some(settings) if settings.port.is_some() => Some(operator.blame(tls_door(settings, address))?),
         _ => None,
     };
-    log::line(format!("listening on {address}"));
+    info!("listening on {address}");
     let (phase, phases) = watch::channel(Phase::Open);
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
@@ -144,8 +146,8 @@
 
     loop {
         tokio::select! {
-            _ = terminate.recv() => break log::line("SIGTERM: finishing what is held"),
-            _ = interrupt.recv() => break log::line("SIGINT: finishing what is held"),
+            _ = terminate.recv() => break info!("SIGTERM: finishing what is held"),
+            _ = interrupt.recv() => break info!("SIGINT: finishing what is held"),
             _ = hang_up.recv() => asked.notify_one(),
             _ = dump.recv() => orders.dump(),
             // It never ends by itself. Without it nothing is answered: better to be started anew.
@@ -159,7 +161,7 @@
     sleep(STILL_COMING).await;
     phase.send_replace(Phase::Closing);
     if timeout(longest + LAST_MARGIN - STILL_COMING, serving).await.is_err() {
-        log::line("some clients have not let go in time");
+        info!("some clients have not let go in time");
     }
     figures.iter().for_each(|figures| figures.finish());
     // With the engine the capture ends, and writes its last lines.
@@ -174,7 +176,7 @@
     let at = SocketAddr::new(plain.ip(), settings.port.unwrap_or_default());
     let listener = http::listen(at).context("tls.port")?;
     let address = listener.local_addr().context("the listener has no address")?;
-    log::line(format!("tls: handshakes on {address}"));
+    info!("tls: handshakes on {address}");
     tokio::spawn(tls.clone().keep_fresh(Duration::from_secs(settings.reload_s as u64)));
     Ok((listener, tls))
 }
@@ -206,17 +208,17 @@
         match Operator::read(self.operator.as_deref()).and_then(|operator| operator.table(&self.platform)) {
             Ok(table) => self.orders.reroute(table),
             Err(error) => {
-                log::rare("SIGHUP: the routes stay as they were:");
-                format!("{error:#}").lines().for_each(log::rare);
+                info!("SIGHUP: the routes stay as they were:");
+                format!("{error:#}").lines().for_each(|line| info!("{line}"));
             }
         }
         match Config::from_env() {
             Ok(config) => {
-                log::line(format!("SIGHUP: discovery is at {}", config.discovery));
+                info!("SIGHUP: discovery is at {}", config.discovery);
                 let news = self.news.clone();
                 self.orders.follow(Box::new(discovery::Source { address: config.discovery, news }));
             }
-            Err(error) => log::line(format!("SIGHUP: the configuration stays as it was: {error:#}")),
+            Err(error) => info!("SIGHUP: the configuration stays as it was: {error:#}"),
         }
     }
 }
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod transport;
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -24,9 +25,9 @@
 use sagemast::settings::{Column, Config as SettingsObject, report_from_text};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
+use tracing::{info, warn};
 
 use crate::capture::{About, Capture, line::Named};
-use crate::log;
 use crate::module_settings::module_settings;
 use crate::operator::Capture as CaptureSettings;
 use crate::routing::Routing;
@@ -358,7 +359,7 @@
             let clients = self.intake.connections.load(Ordering::Relaxed);
             let (open, out, idle) = (self.open.len(), self.sent.len(), self.transport.idle());
             let told = counters.told(&connections, self.routing.names());
-            log::rare(format!("{told}; now open={open} out={out} clients={clients} idle={idle}"));
+            info!("{told}; now open={open} out={out} clients={clients} idle={idle}");
         }
     }
 
@@ -454,7 +455,7 @@
             Happening::Rerouted(table) => self.reroute(table),
             Happening::Dump => match &self.capture {
                 Some(capture) => capture.dump(),
-                None => log::line("SIGUSR1: capture is off"),
+                None => info!("SIGUSR1: capture is off"),
             },
         }
     }
@@ -468,10 +469,7 @@
             module.put_class(id, class, known);
         }
         module.put_budgets(change.retry_budget, change.copy_budget);
-        log::rare(format!(
-            "routes: {} in force, {told} classes of them new or changed",
-            self.routing.count()
-        ));
+        info!("routes: {} in force, {told} classes of them new or changed", self.routing.count());
         let now = self.millis(Instant::now());
         if let Some(capture) = &mut self.capture {
             let servers = &self.servers;
@@ -526,7 +524,7 @@
         }
         if !matches!(answer, Final::Served(..)) {
             tally.unsent += u32::from(open.sends == 0);
-            log::line(open.obituary(&answer));
+            warn!("{}", Obituary { open: &open, answer: &answer });
         }
         // The client may have gone in this very moment.
         open.reply.send(answer).is_ok()
@@ -555,21 +553,26 @@
             Action::Subscribe => self.follow(),
             Action::Log { about, text } => {
                 let open = about.and_then(|request| self.open.get(&request));
-                log::rare(open.map_or(text.clone(), |open| format!("{}{text}", open.who)));
+                info!("{}{text}", open.map_or("", |open| &*open.who));
             }
         }
     }
 }
 
-impl Open {
-    /// The line about a request that was not served.
-    fn obituary(&self, answer: &Final) -> String {
-        let (who, id) = (&self.who, self.forward.id());
-        let path = self.forward.target.path();
-        let end = if matches!(answer, Final::Failed) { "failed" } else { "refused" };
-        let after = self.at.elapsed().as_millis();
-        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
-        let trail = if self.trail.is_empty() { " no attempt" } else { &self.trail };
-        format!("{who}request {id} {path}: {end} after {after} ms, {left} ms left;{trail}")
+/// The line about a request that was not served. Most of them are left out under overload, and cost no words.
+struct Obituary<'a> {
+    open: &'a Open,
+    answer: &'a Final,
+}
+
+impl Display for Obituary<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
+        let Open { who, forward, at, deadline, trail, .. } = self.open;
+        let (id, path) = (forward.id(), forward.target.path());
+        let end = if matches!(self.answer, Final::Failed) { "failed" } else { "refused" };
+        let after = at.elapsed().as_millis();
+        let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+        let trail = if trail.is_empty() { " no attempt" } else { trail };
+        write!(f, "{who}request {id} {path}: {end} after {after} ms, {left} ms left;{trail}")
     }
 }
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -14,6 +14,7 @@
 use anyhow::{Context, Result};
 use bytes::Bytes;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tracing::info;
 
 use super::log;
 use super::operator::{Collector, Figures as Settings, Format};
@@ -309,7 +310,7 @@
             let file = || OpenOptions::new().append(true).create(true).open(&path);
             let Err(error) = file().and_then(|mut file| file.write_all(lines)) else { return };
             if still.swap(false, Ordering::Relaxed) {
-                log::rare(format!("figures: {}: {error}; no more go there", path.display()));
+                info!("figures: {}: {error}; no more go there", path.display());
             }
             dropped[FILE].fetch_add(count_lines(lines), Ordering::Relaxed);
         })
--- a/crates/node/src/fronts/http/mod.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -23,13 +23,13 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::ServerConfig;
+use tracing::warn;
 
 use super::Phase;
 use super::address_lists::{AddressLists, Client};
 use super::tls::{self, Tls};
 use crate::engine::{Asked, BODY_BYTES, Final, Forward, Intake, Names, end_to_end};
 use crate::figures::{Figures, InFlight};
-use crate::log;
 
 /// Clients that connect while the sidecar starts or is busy wait here.
 const BACKLOG: u32 = 4096;
@@ -74,7 +74,7 @@
     /// Tells of a connection where there is more to tell than that it is one.
     fn announce(&self, peer: SocketAddr) {
         if self.client.is_some() || self.subject.is_some() {
-            log::line(format!("{self}connected from {peer}"));
+            warn!("{self}connected from {peer}");
         }
     }
 }
@@ -151,7 +151,7 @@
         };
         match accepted {
             Ok((_, peer, _)) if front.turns_away(peer) => {
-                log::line(format!("connection from client={} is denied", peer.ip().to_canonical()));
+                warn!("connection from client={} is denied", peer.ip().to_canonical());
             }
             Ok((stream, peer, handshake)) => {
                 front.intake.connections.fetch_add(1, Ordering::Relaxed);
@@ -164,7 +164,7 @@
                 });
             }
             Err(error) => {
-                log::line(format!("cannot accept: {error}"));
+                warn!("cannot accept: {error}");
                 sleep(ACCEPT_BACK_OFF).await;
             }
         }
@@ -201,7 +201,7 @@
         };
         match identified {
             Ok(client) => who.client = Some(client),
-            Err(reason) => return log::line(format!("connection closed: {reason}")),
+            Err(reason) => return warn!("connection closed: {reason}"),
         }
     }
     let (reading, writing) = stream.into_split();
@@ -222,7 +222,7 @@
             who.announce(peer);
             connection(stream, Arc::new(who), opened, front, crowded).await;
         }
-        Err(reason) => log::line(format!("{who}connection from {peer} closed: tls: {reason}")),
+        Err(reason) => warn!("{who}connection from {peer} closed: tls: {reason}"),
     }
 }
 
--- a/crates/node/src/fronts/tls.rs
+++ b/crates/node/src/fronts/tls.rs
@@ -16,10 +16,10 @@
 use tokio_rustls::rustls::server::WebPkiClientVerifier;
 use tokio_rustls::rustls::version::{TLS12, TLS13};
 use tokio_rustls::rustls::{RootCertStore, ServerConfig, ServerConnection};
+use tracing::info;
 use x509_parser::objects::{oid_registry, oid2abbrev};
 use x509_parser::prelude::{FromDer, X509Certificate, X509Name};
 
-use crate::log;
 use crate::operator::{Tls as Settings, Version};
 
 /// Certificates and keys are smaller; a file that is not must not fill the memory.
@@ -156,7 +156,7 @@
             sleep(every).await;
             let tls = self.clone();
             if let Ok(Some(line)) = spawn_blocking(move || tls.refresh()).await {
-                log::rare(line);
+                info!("{line}");
             }
         }
     }
--- a/crates/node/src/transports/http1/mod.rs
+++ b/crates/node/src/transports/http1/mod.rs
@@ -17,9 +17,9 @@
 use sagemast::settings::Config as PlatformSettings;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep_until, timeout_at};
+use tracing::warn;
 
 use crate::engine::{Attempt, BODY_BYTES, Counts, End, Forward, Peer, Reports, Transport};
-use crate::log;
 use connection::{Broken, Connection, exchange, explain, least_size, outcome_of};
 use pool::Pool;
 
@@ -259,7 +259,7 @@
             Ok(connection) => connection,
             Err(_) if attempt.is_given_up() => return Err(Outcome::NotSent),
             Err(reason) => {
-                log::line(format!("upstream {}: {reason}", peer.host));
+                warn!("upstream {}: {reason}", peer.host);
                 return Err(Outcome::Unreachable);
             }
         };
