Count written bytes, and see connections end, by tokio-util instead of by hand

Four polls were written out to count what a stream writes, the last client connection was waited for by a look every 5 ms, and the task of a connection was ended by a Drop of our own. `InspectWriter`, `TaskTracker` and `AbortOnDropHandle` do the same. A connection's task that fails now counts as ended, too, where before the count stayed one too high and the end waited its whole time.

--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -2,7 +2,7 @@
 //! answer for it, whatever becomes of the request.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use hyper::Uri;
@@ -10,6 +10,7 @@
 use sagemast::api::{ClassId, Effect, RequestId, TenantId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
 
 use super::Happening;
 use super::message::{Final, Forward};
@@ -57,8 +58,8 @@
 pub struct Intake {
     /// Names in requests.
     pub names: Names,
-    /// Open client connections, over all fronts.
-    pub connections: AtomicUsize,
+    /// Open client connections, over all fronts: each is a task.
+    pub connections: TaskTracker,
     /// Whether there is a list of upstreams.
     ready: AtomicBool,
     /// Ids for the module: those of clients come from outside and might come twice.
@@ -70,7 +71,7 @@
     pub(super) fn new(names: Names, happenings: mpsc::UnboundedSender<Happening>) -> Intake {
         Intake {
             names,
-            connections: AtomicUsize::new(0),
+            connections: TaskTracker::new(),
             ready: AtomicBool::new(false),
             // The module keeps timer 0 for itself and halves request ids into timers.
             next_id: AtomicU64::new(2),
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -15,7 +15,6 @@
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::Result;
@@ -356,7 +355,7 @@
         let counters = std::mem::take(&mut self.counters);
         let connections = self.transport.counts();
         if !counters.is_idle() {
-            let clients = self.intake.connections.load(Ordering::Relaxed);
+            let clients = self.intake.connections.len();
             let (open, out, idle) = (self.open.len(), self.sent.len(), self.transport.idle());
             let told = counters.told(&connections, self.routing.names());
             info!("{told}; now open={open} out={out} clients={clients} idle={idle}");
--- a/crates/node/src/fronts/http/mod.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -154,12 +154,10 @@
                 warn!("connection from client={} is denied", peer.ip().to_canonical());
             }
             Ok((stream, peer, handshake)) => {
-                front.intake.connections.fetch_add(1, Ordering::Relaxed);
                 let crowded = permits.available_permits() * 4 < max_connections;
-                let front = front.clone();
-                tokio::spawn(async move {
-                    welcome(stream, peer, handshake, &front, crowded).await;
-                    front.intake.connections.fetch_sub(1, Ordering::Relaxed);
+                let own = front.clone();
+                front.intake.connections.spawn(async move {
+                    welcome(stream, peer, handshake, &own, crowded).await;
                     drop(permit);
                 });
             }
@@ -176,9 +174,8 @@
     if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
         return;
     }
-    while front.intake.connections.load(Ordering::Relaxed) > 0 {
-        sleep(Duration::from_millis(5)).await;
-    }
+    front.intake.connections.close();
+    front.intake.connections.wait().await;
 }
 
 /// Finds out who is at the other end of a new connection, as far as that is asked, and serves it.
--- a/crates/node/src/transports/http1/connection.rs
+++ b/crates/node/src/transports/http1/connection.rs
@@ -11,10 +11,10 @@
 use sagemast::api::Outcome;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
+use tokio_util::task::AbortOnDropHandle;
 
-use super::counted::{Counted, Written};
+use super::counted::{Written, counted};
 use crate::engine::{Answer, BODY_BYTES};
 
 /// Room for a head; hyper also reads bodies through it.
@@ -26,7 +26,7 @@
 pub struct Connection {
     /// For the next exchange.
     pub sender: SendRequest<Full<Bytes>>,
-    task: JoinHandle<()>,
+    task: AbortOnDropHandle<()>,
     /// The bytes written to it so far.
     pub written: Written,
     /// Whether it has carried a request before.
@@ -49,16 +49,16 @@
             .map_err(|error| format!("cannot connect: {error}"))?;
         // Without it the kernel may hold back a small request.
         stream.set_nodelay(true).map_err(|error| error.to_string())?;
-        let (counted, written) = Counted::new(stream);
+        let (counted, written) = counted(stream);
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(BUFFER_BYTES)
             .handshake(TokioIo::new(counted))
             .await
             .map_err(|error| error.to_string())?;
-        let task = tokio::spawn(async move {
+        let task = AbortOnDropHandle::new(tokio::spawn(async move {
             // How an exchange failed shows at the exchange.
             let _ = connection.await;
-        });
+        }));
         Ok(Connection { sender, task, written, used: false, idle_since: Instant::now(), _permit: permit })
     }
 
@@ -68,9 +68,9 @@
     }
 
     /// Closes it; when this returns, the socket is closed.
-    pub async fn close(mut self) {
+    pub async fn close(self) {
         self.task.abort();
-        let _ = (&mut self.task).await;
+        let _ = self.task.await;
     }
 
     /// Waits until the next request can be sent. `None` if the upstream closes it.
@@ -82,12 +82,6 @@
     }
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// Why there is no answer.
 pub enum Broken {
     /// The request's last byte was never written: it has not run.
