--- a/crates/harelock/tests/command_line.rs
+++ b/crates/harelock/tests/command_line.rs
@@ -1,9 +1,9 @@
 //! The program's commands, as a process.
 
-use std::io::Write;
-use std::path::PathBuf;
 use std::process::{Command, Output};
 
+use tempfile::TempDir;
+
 const CONFIG: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{
 "classes":[{"name":"statement-issue","aim":600,"hard_limit":1500,"importance":3,"effect":"once"},
 {"name":"contribution-post","aim":500,"hard_limit":6000,"importance":2,"effect":"by_key","dedup_scope":"all",
@@ -12,28 +12,20 @@
 "invariants":{"cold_share":0.1,"warm_up":2e4,"fall_multiple":2.5,"fall":1500}}}"#;
 
 /// Files of one test, removed with it.
-struct Files(PathBuf);
+struct Files(TempDir);
 
 impl Files {
-    fn new(test: &str) -> Files {
-        let folder = std::env::temp_dir().join(format!("harelock-{test}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        Files(folder)
+    fn new() -> Files {
+        Files(TempDir::new().expect("a folder"))
     }
 
     fn file(&self, name: &str, text: &str) -> String {
-        let path = self.0.join(name);
-        std::fs::File::create(&path).expect("a file").write_all(text.as_bytes()).expect("written");
+        let path = self.0.path().join(name);
+        std::fs::write(&path, text).expect("written");
         path.display().to_string()
     }
 }
 
-impl Drop for Files {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn harelock(args: &[&str]) -> (Option<i32>, String, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_harelock"));
     let Output { status, stdout, stderr } =
@@ -49,7 +41,7 @@
 
 #[test]
 fn a_bad_file_is_refused_with_all_that_is_wrong() {
-    let files = Files::new("check-bad");
+    let files = Files::new();
     let (config, bad) = (files.file("config.json", CONFIG), files.file("operator.json", BAD));
     let (code, out, _) = harelock(&["check", &bad, "--config", &config]);
     assert_eq!(code, Some(2), "{out}");
@@ -64,7 +56,7 @@
 
 #[test]
 fn other_sections_are_checked_as_well() {
-    let files = Files::new("check-sections");
+    let files = Files::new();
     let config = files.file("config.json", CONFIG);
     let bad = files.file("operator.json", r#"{"tls": {"port": 70000}, "routes": {"table": []}}"#);
     let (code, out, _) = harelock(&["check", &bad, "--config", &config]);
@@ -81,7 +73,7 @@
 /// A sidecar does not start with routes that break a rule, and says which.
 #[test]
 fn nothing_is_served_by_a_bad_file() {
-    let files = Files::new("run-bad");
+    let files = Files::new();
     let (config, bad) = (files.file("config.json", CONFIG), files.file("operator.json", BAD));
     let output = Command::new(env!("CARGO_BIN_EXE_harelock"))
         .args(["run", "--operator", &bad])
@@ -95,7 +87,7 @@
 
 #[test]
 fn the_route_of_a_request_is_explained() {
-    let files = Files::new("explain");
+    let files = Files::new();
     let config = files.file("config.json", CONFIG);
     let operator = files.file(
         "operator.json",
--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -46,15 +46,24 @@
 
 /// Reads one message; `None` at the end of the connection or when it breaks.
 pub fn read_message(reader: &mut impl BufRead) -> Option<Message> {
-    let mut message = Message::default();
-    reader.read_line(&mut message.line).ok().filter(|read| *read > 0)?;
-    message.line = message.line.trim_end().to_owned();
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
-        let Some((name, value)) = line.trim_end().split_once(':') else { break };
-        message.headers.push((name.to_owned(), value.trim().to_owned()));
-    }
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        reader.read_until(b'\n', &mut head).ok().filter(|read| *read > 0)?;
+    }
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let headers: &[httparse::Header] = if head.starts_with(b"HTTP/") {
+        let mut answer = httparse::Response::new(&mut headers);
+        answer.parse(&head).expect("the head of an answer");
+        answer.headers
+    } else {
+        let mut request = httparse::Request::new(&mut headers);
+        request.parse(&head).expect("the head of a request");
+        request.headers
+    };
+    let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).expect("text");
+    let headers = headers.iter().map(|header| (header.name.to_owned(), text(header.value))).collect();
+    let line = text(&head).lines().next().expect("a first line").to_owned();
+    let mut message = Message { line, headers, ..Message::default() };
     let length = message.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
     message.body = vec![0; length];
     reader.read_exact(&mut message.body).ok()?;
@@ -281,8 +290,6 @@
     pub path: std::path::PathBuf,
 }
 
-static FILES: AtomicUsize = AtomicUsize::new(0);
-
 /// Starts the program on a configuration, with its standard error piped.
 pub fn spawn(config: &str) -> Child {
     spawn_with(config, None, None).0
@@ -310,11 +317,9 @@
 
 /// A file of its own under the tests' folder.
 pub fn file(text: &str) -> std::path::PathBuf {
-    let number = FILES.fetch_add(1, Ordering::SeqCst);
-    let name = format!("sagemast-{}-{number}.json", std::process::id());
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, text).unwrap();
-    path
+    let file = tempfile::NamedTempFile::with_suffix_in(".json", env!("CARGO_TARGET_TMPDIR")).unwrap();
+    std::fs::write(&file, text).unwrap();
+    file.into_temp_path().keep().unwrap()
 }
 
 /// The same with a limit on its descriptors.
--- a/crates/node/src/fronts/tls.rs
+++ b/crates/node/src/fronts/tls.rs
@@ -251,9 +251,8 @@
 
     #[test]
     fn what_is_sound_replaces_what_was_and_all_is_told_once() {
-        let folder = std::env::temp_dir().join(format!("harelock-tls-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let [cert_file, key_file] = ["cert.pem", "key.pem"].map(|name| folder.join(name));
+        let folder = tempfile::tempdir().expect("a folder");
+        let [cert_file, key_file] = ["cert.pem", "key.pem"].map(|name| folder.path().join(name));
         let write = |path: &Path, text: &str| std::fs::write(path, text).expect("it is written");
         let [cert, key] = pair();
         write(&cert_file, &cert);
@@ -281,7 +280,6 @@
         write(&key_file, &new_key);
         assert!(tls.refresh().expect("a line").contains("serial="));
         assert!(!same(&first), "the new pair is taken up");
-        std::fs::remove_dir_all(&folder).expect("it can be removed");
     }
 
     #[test]
