--- a/crates/node/src/fronts/tls.rs
+++ b/crates/node/src/fronts/tls.rs
@@ -16,10 +16,10 @@
 use tokio_rustls::rustls::server::WebPkiClientVerifier;
 use tokio_rustls::rustls::version::{TLS12, TLS13};
 use tokio_rustls::rustls::{RootCertStore, ServerConfig, ServerConnection};
+use tracing::info;
 use x509_parser::objects::{oid_registry, oid2abbrev};
 use x509_parser::prelude::{FromDer, X509Certificate, X509Name};
 
-use crate::log;
 use crate::operator::{Tls as Settings, Version};
 
 /// Certificates and keys are smaller; a file that is not must not fill the memory.
@@ -156,7 +156,7 @@
             sleep(every).await;
             let tls = self.clone();
             if let Ok(Some(line)) = spawn_blocking(move || tls.refresh()).await {
-                log::rare(line);
+                info!("{line}");
             }
         }
     }
@@ -251,9 +251,8 @@
 
     #[test]
     fn what_is_sound_replaces_what_was_and_all_is_told_once() {
-        let folder = std::env::temp_dir().join(format!("harelock-tls-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let [cert_file, key_file] = ["cert.pem", "key.pem"].map(|name| folder.join(name));
+        let folder = tempfile::tempdir().expect("a folder");
+        let [cert_file, key_file] = ["cert.pem", "key.pem"].map(|name| folder.path().join(name));
         let write = |path: &Path, text: &str| std::fs::write(path, text).expect("it is written");
         let [cert, key] = pair();
         write(&cert_file, &cert);
@@ -281,7 +280,6 @@
         write(&key_file, &new_key);
         assert!(tls.refresh().expect("a line").contains("serial="));
         assert!(!same(&first), "the new pair is taken up");
-        std::fs::remove_dir_all(&folder).expect("it can be removed");
     }
 
     #[test]
