Cut warnings at 400 characters and other lines at 3,000

The line that tells what was done with each class was cut at 400 characters where there are several, so that its last counts were missing. What others can cause is still cut at 400.

--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -21,8 +21,10 @@
 
 /// Warnings a second. What a broken peer can cause must not fill the disk that holds the log.
 const LINES_A_SECOND: u32 = 20;
-/// Longer lines are cut: part of them may come from the network.
-const LINE_CHARS: usize = 400;
+/// Longer warnings are cut: part of them may come from the network.
+const WARNING_CHARS: usize = 400;
+/// The same for other lines, among them the one that tells what was done with each class.
+pub const LONG_CHARS: usize = 3_000;
 /// So much may wait to be written while whoever reads standard error does not.
 const WAITING_BYTES: usize = 64 << 10;
 /// So long the last lines may take.
@@ -130,8 +132,9 @@
     N: for<'a> FormatFields<'a> + 'static,
 {
     fn format_event(&self, ctx: &FmtContext<'_, S, N>, mut to: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+        let left = if *event.metadata().level() == Level::WARN { WARNING_CHARS } else { LONG_CHARS };
         to.write_str(PREFIX)?;
-        ctx.format_fields(Writer::new(&mut Tame { to: &mut to, left: LINE_CHARS }), event)?;
+        ctx.format_fields(Writer::new(&mut Tame { to: &mut to, left }), event)?;
         to.write_char('\n')
     }
 }
