--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -129,7 +129,7 @@
     let front = Arc::new(Front::new(intake.clone(), phases, lists, figures.clone()));
     let transport =
         Box::new(Http1::new(http1::Settings::new(&config.settings, config.limits.upstreams()), reports));
-    let roster = Box::new(discovery::Source { address: config.discovery, news: news.clone() });
+    let roster = Box::new(source(&config, news.clone()));
     let surroundings = Surroundings { intake, inbox, transport, roster };
     let (clients, known) = (config.limits.clients(), config.known.as_ref().map(HostList::list));
     let platform = platform(&config.settings);
@@ -168,6 +168,12 @@
     Ok(())
 }
 
+/// Discovery, as a configuration has it.
+fn source(config: &Config, news: News) -> discovery::Source {
+    let must_ask_in = config.settings.must_ask_in();
+    discovery::Source { address: config.discovery, must_ask_in, seed: config.seed(), news }
+}
+
 /// Opens the port for TLS beside the plain one.
 fn tls_door(settings: &operator::Tls, plain: SocketAddr) -> Result<(TcpListener, Arc<Tls>)> {
     let tls = Arc::new(Tls::start(Source::new(settings)?)?);
@@ -213,8 +219,7 @@
         match Config::from_env() {
             Ok(config) => {
                 log::line(format!("SIGHUP: discovery is at {}", config.discovery));
-                let news = self.news.clone();
-                self.orders.follow(Box::new(discovery::Source { address: config.discovery, news }));
+                self.orders.follow(Box::new(source(&config, self.news.clone())));
             }
             Err(error) => log::line(format!("SIGHUP: the configuration stays as it was: {error:#}")),
         }
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -35,7 +35,7 @@
 
 pub use intake::{Asked, Intake, Names};
 pub use message::{Answer, BODY_BYTES, End, Final, Forward, end_to_end};
-pub use roster::{Entry, Following, List, News, Roster};
+pub use roster::{Entry, Following, List, News, Roster, Start};
 pub use transport::{Attempt, Counts, Flight, Peer, Reports, Transport};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time.
@@ -58,8 +58,6 @@
     Probed { upstream: UpstreamId, answer: Option<Answer> },
     /// The roster told something.
     Listed(List),
-    /// The roster failed and can be followed again from this version.
-    RosterFailed { version: u64 },
     /// The list comes from elsewhere now.
     Moved(Box<dyn Roster>),
     /// Other routes are in force from now on.
@@ -208,7 +206,6 @@
     settings: SettingsObject,
     columns: Vec<Column>,
     routing: Routing,
-    subscribed: bool,
     intake: Arc<Intake>,
     inbox: mpsc::UnboundedReceiver<Happening>,
     transport: Box<dyn Transport>,
@@ -259,7 +256,6 @@
             capture.map(|capture| Capture::start(capture, classes(), seed, epoch_unix_ms)).transpose()?;
         let Surroundings { intake, inbox, transport, roster } = surroundings;
         Ok(Engine {
-            subscribed: matches!(told.discovery, Discovery::Subscribed { .. }),
             module: Balancer::new(told, seed),
             columns: settings.columns(),
             routing,
@@ -288,9 +284,8 @@
     /// Runs for good.
     pub async fn run(mut self, known: Option<List>) {
         self.listed(known.unwrap_or_default(), true);
-        if !self.subscribed {
-            self.follow();
-        }
+        let serving = self.servers.values().any(|server| server.listing.lifecycle == Lifecycle::Serving);
+        self.follow(if serving { Start::Known } else { Start::Empty });
         self.set_timer(Instant::now() + SWEEP, Timer::Sweep);
         self.set_timer(Instant::now() + REPORT, Timer::Report);
         loop {
@@ -307,9 +302,9 @@
         }
     }
 
-    /// Follows the roster: for good where news come by themselves, else until it fails.
-    fn follow(&mut self) {
-        self.following = Some(self.roster.follow(self.version, !self.subscribed));
+    /// Follows the roster from here on.
+    fn follow(&mut self, start: Start) {
+        self.following = Some(self.roster.follow(self.version, start));
     }
 
     /// The module's clock.
@@ -439,17 +434,10 @@
                 self.event(Event::Probed { upstream, answered, report });
             }
             Happening::Listed(list) => self.listed(list, false),
-            Happening::RosterFailed { version } => {
-                self.version = version;
-                self.event(Event::Listed(ListNews::Unavailable));
-            }
             Happening::Moved(roster) => {
                 self.roster = roster;
-                // What was followed so far ends soon, and tells nothing more by then. Where it has ended already
-                // it is the module's to ask for again.
-                if self.following.as_ref().is_some_and(|following| !following.has_ended()) {
-                    self.follow();
-                }
+                let before = self.following.take();
+                self.follow(Start::Moved(before));
             }
             Happening::Rerouted(table) => self.reroute(table),
             Happening::Dump => match &self.capture {
@@ -552,7 +540,6 @@
                 let at = self.epoch.checked_add(after).unwrap_or_else(Instant::now);
                 self.set_timer(at, Timer::Wake(token));
             }
-            Action::Subscribe => self.follow(),
             Action::Log { about, text } => {
                 let open = about.and_then(|request| self.open.get(&request));
                 log::rare(open.map_or(text.clone(), |open| format!("{}{text}", open.who)));
--- a/crates/node/src/engine/roster.rs
+++ b/crates/node/src/engine/roster.rs
@@ -1,6 +1,8 @@
 //! The seam towards rosters: where the list of upstreams comes from, in terms that no source has to itself.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
@@ -41,26 +43,45 @@
     pub started_ms: f64,
 }
 
+/// How a source begins to be followed.
+pub enum Start {
+    /// By a new process that has no list.
+    Empty,
+    /// By a new process that has one, maybe an old one.
+    Known,
+    /// In place of another, which may be heard until this one tells its first list but calls no more.
+    Moved(Option<Following>),
+}
+
 /// A source of lists.
 pub trait Roster: Send {
-    /// Follows the source from a version on until the result is dropped. `for_good`, it sees to its own returns;
-    /// else it tells that it failed, and the module says when to follow again.
-    fn follow(&self, from: u64, for_good: bool) -> Following;
+    /// Follows the source from a version on until the result is dropped. It sees to its own returns.
+    fn follow(&self, from: u64, start: Start) -> Following;
 }
 
 /// A source that is followed: it ends with its owner.
-pub struct Following(pub JoinHandle<()>);
+pub struct Following {
+    task: JoinHandle<()>,
+    retired: Arc<AtomicBool>,
+}
 
 impl Following {
-    /// Whether it has ended by itself.
-    pub fn has_ended(&self) -> bool {
-        self.0.is_finished()
+    /// Lets a task follow. It is given what tells that it is retired: it may hear out what is open, and must begin
+    /// nothing new.
+    pub fn by<F: Future<Output = ()> + Send + 'static>(task: impl FnOnce(Arc<AtomicBool>) -> F) -> Following {
+        let retired = Arc::new(AtomicBool::new(false));
+        Following { task: tokio::spawn(task(retired.clone())), retired }
+    }
+
+    /// Lets it begin nothing new.
+    pub fn retire(&self) {
+        self.retired.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for Following {
     fn drop(&mut self) {
-        self.0.abort();
+        self.task.abort();
     }
 }
 
@@ -69,13 +90,13 @@
 pub struct News(pub(super) mpsc::UnboundedSender<Happening>);
 
 impl News {
+    /// Whether nobody hears it any more.
+    pub fn is_over(&self) -> bool {
+        self.0.is_closed()
+    }
+
     /// A list, or what changed. Whether anybody still hears it.
     pub fn listed(&self, list: List) -> bool {
         self.0.send(Happening::Listed(list)).is_ok()
     }
-
-    /// The source failed; it can be followed again from this version, 0 if something was missed.
-    pub fn failed(&self, version: u64) {
-        let _ = self.0.send(Happening::RosterFailed { version });
-    }
 }
--- a/crates/node/src/replay.rs
+++ b/crates/node/src/replay.rs
@@ -226,7 +226,6 @@
             Some(Action::Fail(_)) => "fail".to_owned(),
             Some(Action::Probe(upstream)) => format!("probe {}", host(upstream)),
             Some(Action::WakeAt { at, token }) => format!("wake token={token} at={at}"),
-            Some(Action::Subscribe) => "subscribe".to_owned(),
             Some(Action::Log { text, .. }) => format!("log {text}"),
         }
     }
@@ -247,7 +246,7 @@
             Some(*request)
         }
         Action::Fail(request) => Some(*request),
-        Action::Probe(_) | Action::WakeAt { .. } | Action::Subscribe | Action::Log { .. } => None,
+        Action::Probe(_) | Action::WakeAt { .. } | Action::Log { .. } => None,
     }
 }
 
@@ -258,8 +257,7 @@
         Action::Cancel { .. } => 1,
         Action::Probe(_) => 2,
         Action::WakeAt { .. } => 3,
-        Action::Subscribe => 4,
-        Action::Log { .. } => 5,
+        Action::Log { .. } => 4,
     };
     (kind, request_of(action))
 }
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -1,6 +1,10 @@
 //! The platform's discovery: reads the list of upstreams and its changes, and tells the engine.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
@@ -9,22 +13,16 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
+use listclock::{Clock, Heard, Millis, Order, Rules};
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::engine::{Entry, Following, List, News, Roster};
+use crate::engine::{Entry, Following, List, News, Roster, Start};
 use crate::log;
 use crate::rosters::values::Values;
 
-/// An empty line comes every 2 s; after this long without a byte the watch is dead. What it would have told
-/// counts as told 6 s after discovery knew it, so there is no time to wait for more.
-const SILENCE: Duration = Duration::from_millis(3_000);
-/// A call must be answered in this time.
-const CALL: Duration = Duration::from_millis(2_500);
-/// Waits between attempts to watch, doubling from the first to the last while they fail.
-const BACK_OFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(800)];
-
 /// A list, or what changed in it, in discovery's form.
 #[derive(Deserialize)]
 pub struct HostList {
@@ -118,75 +116,131 @@
 pub struct Source {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Whether and how often it must be asked.
+    pub must_ask_in: Option<Millis>,
+    /// For the waits between calls.
+    pub seed: u64,
     /// Where its news go.
     pub news: News,
 }
 
 impl Roster for Source {
-    fn follow(&self, from: u64, for_good: bool) -> Following {
-        let watch = Watch { address: self.address, seq: from, news: self.news.clone() };
-        Following(if for_good { tokio::spawn(watch.keep()) } else { tokio::spawn(watch.ask()) })
+    fn follow(&self, from: u64, start: Start) -> Following {
+        let (start, before) = match start {
+            Start::Empty => (listclock::Start::Empty, None),
+            Start::Known => (listclock::Start::Known, None),
+            Start::Moved(before) => (listclock::Start::Moved, before),
+        };
+        before.iter().for_each(Following::retire);
+        let rules = Rules { must_ask_in: self.must_ask_in, can_fall_silent: true };
+        let (address, news, seed) = (self.address, self.news.clone(), self.seed);
+        Following::by(move |retired| {
+            let clock = Clock::new(rules, start, seed, 0.0);
+            Watch { address, version: from, news, clock, epoch: Instant::now(), retired, before }.keep()
+        })
     }
 }
 
 /// Where a watch starts from and what it tells.
 struct Watch {
     address: SocketAddr,
-    /// The version that the sidecar has.
-    seq: u64,
+    /// The version that the sidecar has, 0 if the whole list is wanted. What a watch that ends has not told comes after
+    /// it, so that the next one tells it.
+    version: u64,
     news: News,
+    clock: Clock,
+    /// The clock's 0.
+    epoch: Instant,
+    /// Whether it may call no more.
+    retired: Arc<AtomicBool>,
+    /// What was followed before and is let go at the first list: the new discovery may not be up yet.
+    before: Option<Following>,
 }
 
 impl Watch {
-    /// Watches for good, for settings under which news come by themselves.
+    /// Calls and watches as the clock says.
     async fn keep(mut self) {
-        let mut wait = BACK_OFF[0];
-        loop {
-            let before = self.seq;
-            let Err(end) = self.once().await;
-            log::line(format!("discovery: {end:#}; watching again"));
-            // A watch that told something was in order; others back off, so as not to storm a discovery in need.
-            wait = if self.seq == before { (wait * 2).min(BACK_OFF[1]) } else { BACK_OFF[0] };
-            sleep(wait).await;
+        while !self.news.is_over() {
+            let due = self.clock.due().and_then(|due| self.instant(due));
+            sleep_until(due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60))).await;
+            if self.retired.load(Ordering::Relaxed) {
+                return;
+            }
+            if self.clock.ring(self.millis()) == Some(Order::Call) {
+                let Err(end) = self.once().await;
+                self.clock.heard(self.millis(), Heard::Ended);
+                log::line(format!("discovery: {end:#}"));
+            }
         }
     }
 
-    /// Watches once, for settings under which the module asks; it hears of the end and asks again.
-    async fn ask(mut self) {
-        let Err(end) = self.once().await;
-        log::line(format!("discovery: {end:#}"));
-        self.news.failed(self.seq);
+    fn millis(&self) -> Millis {
+        self.epoch.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// A point on the clock; nothing where it is too far away for one.
+    fn instant(&self, at: Millis) -> Option<Instant> {
+        self.epoch.checked_add(Duration::try_from_secs_f64(at / 1e3).ok()?)
+    }
+
+    /// Waits for something on a call or a watch, as long as the clock lets it.
+    async fn within<T>(&mut self, what: &'static str, coming: impl Future<Output = T>) -> Result<T> {
+        let mut coming = pin!(coming);
+        loop {
+            let due = self.clock.due().and_then(|due| self.instant(due)).context("no time for it")?;
+            if let Ok(came) = timeout_at(due, &mut coming).await {
+                return Ok(came);
+            }
+            if self.clock.ring(self.millis()) == Some(Order::GiveUp) {
+                bail!("{what}");
+            }
+        }
     }
 
-    async fn once(&mut self) -> Result<std::convert::Infallible> {
-        let stream = timeout(CALL, TcpStream::connect(self.address))
-            .await
-            .context("connecting took too long")?
-            .context("cannot connect")?;
+    async fn once(&mut self) -> Result<Infallible> {
+        const LATE: &str = "no answer in time";
+        let stream = self.within(LATE, TcpStream::connect(self.address)).await?.context("cannot connect")?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        let _connection = Following(tokio::spawn(async move {
-            let _ = connection.await;
-        }));
-        let request = Request::get(format!("/discovery/hosts?watch=1&from={}", self.seq))
+        // It ends with this call.
+        let mut tasks = JoinSet::new();
+        tasks.spawn(connection);
+        let request = Request::get(format!("/discovery/hosts?watch=1&from={}", self.version))
             .header(header::HOST, self.address.to_string())
             .body(Empty::<Bytes>::new())?;
-        let response = timeout(CALL, sender.send_request(request)).await.context("no answer in time")??;
+        let response = self.within(LATE, sender.send_request(request)).await??;
         if response.status() != StatusCode::OK {
             bail!("answered {}", response.status());
         }
+        self.clock.heard(self.millis(), Heard::Answered);
         let mut body = response.into_body();
         let mut values = Values::default();
         loop {
-            let frame = timeout(SILENCE, body.frame()).await.context("the watch fell silent")?;
+            let frame = self.within("the watch fell silent, or a list has no end", body.frame()).await?;
             let frame = frame.context("the watch ended")??;
             let Ok(chunk) = frame.into_data() else { continue };
-            let lists = values.push(&chunk).inspect_err(|_| self.seq = 0)?;
+            let lists = values.push(&chunk).inspect_err(|_| self.version = 0)?;
+            let heard = match (lists.is_empty(), values.is_inside()) {
+                (true, true) => Heard::Part,
+                (true, false) => Heard::KeepAlive,
+                (false, _) => Heard::List,
+            };
+            self.clock.heard(self.millis(), heard);
+            if heard == Heard::List && values.is_inside() {
+                self.clock.heard(self.millis(), Heard::Part);
+            }
             lists.iter().try_for_each(|list| self.tell(list))?;
         }
     }
 
     fn tell(&mut self, list: &HostList) -> Result<()> {
-        self.seq = list.seq;
+        // A discovery that has lost its memory counts anew: its whole list holds. Changes before what is held are
+        // changes of something else.
+        if list.seq < self.version && !list.whole {
+            let held = std::mem::take(&mut self.version);
+            bail!("changes up to {} came after {held}", list.seq);
+        }
+        self.version = list.seq;
+        self.before = None;
         if !self.news.listed(list.list()) {
             bail!("the engine has ended");
         }
--- a/crates/node/src/rosters/values.rs
+++ b/crates/node/src/rosters/values.rs
@@ -41,7 +41,10 @@
             bail!("a value is longer than {VALUE_BYTES} bytes");
         }
         self.buffer.extend_from_slice(piece);
-        let closed = piece.iter().fold(false, |closed, byte| self.closes(*byte) || closed);
+        let mut closed = false;
+        for byte in piece {
+            closed |= self.closes(*byte);
+        }
         if !closed {
             self.skip_space();
             return Ok(Vec::new());
--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -130,19 +130,6 @@
     pub fall: Millis,
 }
 
-/// How news of servers arrives.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum Discovery {
-    /// By itself.
-    #[default]
-    Pushed,
-    /// Only after [`Action::Subscribe`].
-    Subscribed {
-        /// An unsubscribed sidecar must ask at least this often.
-        must_ask_in: Millis,
-    },
-}
-
 /// What the module is told at start. It never learns names.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
@@ -168,8 +155,6 @@
     pub sizes_listed: bool,
     /// Whether a class's worth is that of a unit of work and not of a request.
     pub worth_by_work: bool,
-    /// How news of servers arrives.
-    pub discovery: Discovery,
     /// How many retries there may be over all classes; [`RETRIES`] where nothing is said.
     pub retry_budget: Option<Budget>,
     /// How many second copies; where nothing is said, as many as those of the classes come to.
@@ -226,8 +211,6 @@
     Complete(Vec<Listing>),
     /// Only what changed.
     Changed(Vec<Listing>),
-    /// A call failed or the subscription broke; the list held stays.
-    Unavailable,
 }
 
 /// A server's own report of its load. Any figure may be missing or absurd.
@@ -384,8 +367,6 @@
         /// What to hand back.
         token: u64,
     },
-    /// Ask discovery for changes from here on.
-    Subscribe,
     /// A line for the operators.
     Log {
         /// The request that it is about, if it is about one.
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -106,8 +106,6 @@
 const COLD_MARGIN: f64 = 0.5;
 /// How often a client tries a request that is refused again and again: once, and up to three times more.
 const TRIES: f64 = 4.0;
-/// Discovery is asked within this share of the time in which it must be; doubles with each failure.
-const ASK_OVER: f64 = 0.25;
 
 /// The decision module of one sidecar. The same seed, settings and events give the same actions.
 #[derive(Debug, Serialize, Deserialize)]
@@ -155,8 +153,7 @@
             }
             Event::Abandoned(request) => self.abandoned(request, out),
             Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report),
-            Event::Listed(news) => self.listed(news, out),
-            Event::Woke(0) if std::mem::take(&mut self.seen.ask_pending) => out.push(Action::Subscribe),
+            Event::Listed(news) => self.listed(news),
             Event::Woke(token) => self.woke(RequestId(token >> 1), token & 1 == 1, out),
         }
     }
@@ -682,9 +679,7 @@
 
     // --- The server list ---------------------------------------------------------------------
 
-    fn listed(&mut self, news: ListNews, out: &mut Vec<Action>) {
-        let failed = news == ListNews::Unavailable;
-        let must_ask = failed || matches!(news, ListNews::Restored(_));
+    fn listed(&mut self, news: ListNews) {
         match news {
             ListNews::Restored(list) | ListNews::Complete(list) => {
                 // Who is missing from a complete list is gone.
@@ -692,24 +687,12 @@
                 list.iter().for_each(|entry| self.update(entry));
             }
             ListNews::Changed(list) => list.iter().for_each(|entry| self.update(entry)),
-            ListNews::Unavailable => {
-                out.push(Action::Log { about: None, text: "server list unavailable".to_owned() });
-            }
         }
-        let serving = self.fleet.all().filter(|server| server.serving).count() as f64;
         let sidecars = f64::from(self.settings.sidecars.max(1));
-        let subset = (SHARED_BY * serving / sidecars).max(SUBSET_LEAST);
-        self.seen.sharers = sidecars * (subset / serving).min(1.0);
-        self.fleet.keep_subset(subset as usize, self.settings.zone, self.now, &self.settings.safety);
-        let Discovery::Subscribed { must_ask_in } = self.settings.discovery else { return };
-        self.seen.ask_wait =
-            if failed { (2.0 * self.seen.ask_wait).min(must_ask_in) } else { ASK_OVER * must_ask_in };
-        if must_ask && !std::mem::replace(&mut self.seen.ask_pending, true) {
-            // Full jitter: many may have restarted or been cut off together, and the list serves few at
-            // once.
-            let at = self.now + self.seen.ask_wait * self.rng.rand_float();
-            out.push(Action::WakeAt { at, token: 0 });
-        }
+        let subset = |serving: usize| (SHARED_BY * serving as f64 / sidecars).max(SUBSET_LEAST);
+        let (home, safety) = (self.settings.zone, &self.settings.safety);
+        let serving = self.fleet.keep_subset(|serving| subset(serving) as usize, home, self.now, safety);
+        self.seen.sharers = sidecars * (subset(serving) / serving as f64).min(1.0);
     }
 
     fn update(&mut self, entry: &Listing) {
--- a/crates/sagemast/src/fleet.rs
+++ b/crates/sagemast/src/fleet.rs
@@ -152,18 +152,25 @@
         self.put_in(id, home, now, safety);
     }
 
-    /// Keeps so many of those that serve in the sets, the others out of them.
-    pub fn keep_subset(&mut self, count: usize, home: ZoneId, now: Millis, safety: &Safety) {
+    /// Keeps so many of those that serve in the sets, by how many those are, the others out of them; how many those are.
+    pub fn keep_subset(
+        &mut self,
+        count: impl Fn(usize) -> usize,
+        home: ZoneId,
+        now: Millis,
+        safety: &Safety,
+    ) -> usize {
         let serving = self.servers.iter().filter(|(_, server)| server.serving);
         let mut numbers: Vec<u64> = serving.map(|(id, _)| self.number(*id)).collect();
         numbers.sort_unstable();
-        let highest = numbers.get(count.saturating_sub(1)).copied();
+        let highest = numbers.get(count(numbers.len()).saturating_sub(1)).copied();
         if std::mem::replace(&mut self.highest, highest) != highest {
             for id in self.servers.keys().copied().collect::<Vec<_>>() {
                 self.take_out(id);
                 self.put_in(id, home, now, safety);
             }
         }
+        numbers.len()
     }
 
     /// A server's number at this sidecar: for good, so that a subset changes no more than its list.
--- a/crates/sagemast/src/fleet/tests.rs
+++ b/crates/sagemast/src/fleet/tests.rs
@@ -90,7 +90,9 @@
         }
         Step::Change(entry) => fleet.update(entry, HOME, *now, &SAFETY),
         Step::Wait(by) => *now += by,
-        Step::Subset(count) => fleet.keep_subset(*count, HOME, *now, &SAFETY),
+        Step::Subset(count) => {
+            fleet.keep_subset(|_| *count, HOME, *now, &SAFETY);
+        }
         Step::Eject(id, wait) => {
             let health = Health::Ejected { until: *now + wait, wait: *wait };
             fleet.get_mut(UpstreamId(*id)).into_iter().for_each(|server| server.health = health);
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -158,15 +158,17 @@
             },
             worth_by_work: self.counted_by == "work",
             sizes_listed: matches!(self.weights.as_str(), "nominal" | "rough"),
-            discovery: match self.membership_mode {
-                Membership::Automatic => Discovery::Pushed,
-                Membership::Subscribe => Discovery::Subscribed { must_ask_in: self.invariants.must_ask_in },
-            },
             retry_budget: None,
             copy_budget: None,
         }
     }
 
+    /// The time in milliseconds in which discovery must be asked; `None` where news of servers come by themselves.
+    pub fn must_ask_in(&self) -> Option<Millis> {
+        let asked = self.membership_mode == Membership::Subscribe;
+        asked.then_some(self.invariants.must_ask_in).filter(|within| within.is_finite())
+    }
+
     /// What one of these costs, as a share of a request's worth; nothing where the platform names no price.
     fn fee(&self, name: &str) -> f64 {
         self.fees.get(name).copied().filter(|fee| fee.is_finite() && *fee > 0.0).unwrap_or(0.0)
--- a/crates/sagemast/src/state.rs
+++ b/crates/sagemast/src/state.rs
@@ -160,9 +160,6 @@
     pub tenant_shares: Vec<f64>,
     /// When the first report came.
     pub first_at: Option<Millis>,
-    /// The span over which the next call to discovery is spread, and whether one is to come.
-    pub ask_wait: Millis,
-    pub ask_pending: bool,
     /// When the grounds of a refusal were last told.
     pub explained_at: Millis,
 }
