Make room for the parts of a fleet that acts together: packages, crates, what trials tell

Change: empty packages residency, concert and world; facts for lists and trials; a floor for each class; addresses are no part of what members' lists are compared by. Result: builds, no test changed.

--- a/crates/peers/src/api.rs
+++ b/crates/peers/src/api.rs
@@ -38,7 +38,8 @@
 pub struct Member {
     /// Its name, unlike all others.
     pub name: String,
-    /// Where its datagrams come from and go to.
+    /// Where its datagrams come from and go to, as seen from here: not the same at every member where links stand
+    /// between them, and so no part of what the members' lists are compared by.
     pub address: SocketAddr,
     /// Its region.
     pub region: RegionId,
@@ -57,6 +58,8 @@
     pub regions: Vec<String>,
     /// What a request of each class earns, by its place in the settings; for the order in which classes are shed.
     pub classes: Vec<ClassWorth>,
+    /// The share of a class that is let in however much is shed, so that none is shut out.
+    pub class_floor: f64,
     /// The further sends that the fleet may make, as shares of its first tries.
     pub budgets: Budgets,
     /// Times.
@@ -123,7 +126,7 @@
 impl FactKind {
     /// How a member sees discovery: key 0.
     pub const REACH: FactKind = FactKind(1);
-    /// Load of one class at a member: key is the class.
+    /// Load by class at a member: key is the number of the piece, where classes need more than one.
     pub const LOAD: FactKind = FactKind(2);
     /// What a member saw or was told of a server: key is the server's.
     pub const SERVER: FactKind = FactKind(3);
@@ -133,6 +136,10 @@
     pub const LEVEL: FactKind = FactKind(5);
     /// Rules of residency: the generation and what a service may use. Encoded by the package `residency`.
     pub const RULES: FactKind = FactKind(6);
+    /// The newest version of discovery's list that a member holds: key 0.
+    pub const LIST: FactKind = FactKind(7);
+    /// How a trial of an ejected server ended: key is the server's.
+    pub const TRIAL: FactKind = FactKind(8);
 }
 
 /// The longest body of a fact, so that a datagram holds one with its stamp and head.
@@ -281,7 +288,7 @@
         well: bool,
     },
     /// A fact of this member's own to spread, such as a rule of residency; it replaces the one of the same kind and key
-    /// and is said again until the member ends.
+    /// and is said again until the member ends. One with an empty body takes it back.
     Publish(Fact),
 }
 
@@ -329,6 +336,13 @@
         /// How old it is.
         age: Millis,
     },
+    /// Another member's trial of an ejected server ended.
+    Tried {
+        /// The server.
+        server: ServerKey,
+        /// Whether it answered.
+        well: bool,
+    },
     /// A fact of a kind that others read, such as [`FactKind::RULES`], is new or changed, or was withdrawn or expired (an
     /// empty body).
     Heard {
--- /dev/null
+++ b/crates/residency/src/lib.rs
@@ -0,0 +1,1 @@
+//! Regions, and rules by service for where its requests may go.
--- /dev/null
+++ b/crates/world/src/lib.rs
@@ -0,0 +1,1 @@
+//! A fleet of sidecars in memory.
