--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,5 +10,11 @@
 //! configured members only, and it never adds a server that no list named.
 
 pub mod api;
+pub mod facts;
+pub mod leases;
+pub mod membership;
+mod peer;
+pub mod wire;
 
 pub use api::{Input, Output};
+pub use peer::{ConfigError, Peer, View};
--- /dev/null
+++ b/crates/peers/src/wire.rs
@@ -0,0 +1,1 @@
+//! Datagrams.
