Name what a fleet tells the module, and give concert its outline

They and the reason of a refusal get their types; the company of a sidecar gets its inputs and outputs. Nothing acts on them yet.

--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -525,7 +525,7 @@
                     sent.give_up = None;
                 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 self.finish(request, Final::Refused(retry_after));
             }
             Action::Fail(request) => {
--- a/crates/node/src/replay.rs
+++ b/crates/node/src/replay.rs
@@ -236,7 +236,13 @@
     match event {
         Event::Arrived { request, .. } | Event::Abandoned(request) => Some(*request),
         Event::Finished(end) => Some(end.request),
-        Event::Probed { .. } | Event::Listed(_) | Event::Woke(_) => None,
+        Event::Probed { .. }
+        | Event::Listed(_)
+        | Event::Woke(_)
+        | Event::Guided(_)
+        | Event::Reported { .. }
+        | Event::Tried { .. }
+        | Event::Within(_) => None,
     }
 }
 
--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -4,6 +4,8 @@
 //! reads a clock and does no I/O: the sidecar turns what happens into [`Event`]s and carries out
 //! the [`Action`]s that come back.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use routes::policy::{Budget, Failure, Policy};
 use routes::purse::Budgets;
 use routes::units::Share;
@@ -291,6 +293,89 @@
     pub report: Option<Report>,
 }
 
+/// What the sidecars of a fleet agreed on. What is absent leaves the module to itself.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Guidance {
+    /// By [`ClassId`], the chance that an arrival may be sent at all; a class without one always may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub admit: Vec<f64>,
+    /// Retries that all classes together may make, in place of what the settings say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retries: Option<Allowance>,
+    /// Second copies, likewise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub copies: Option<Allowance>,
+    /// Servers whose load this sidecar asks for, and no others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub probes: Option<BTreeSet<UpstreamId>>,
+    /// Ejected servers that this sidecar tries again, and no others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trials: Option<BTreeSet<UpstreamId>>,
+    /// What it may send cold servers, instead of going by chance; nothing to those that are not named.
+    #[serde(default, skip_serializing_if = "Option::is_none", with = "crate::exact::pairs")]
+    pub cold: Option<BTreeMap<UpstreamId, ColdLease>>,
+    /// Where in the span that refused clients are asked to stay away theirs lie: from and to, as shares of it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub come_back: Option<[f64; 2]>,
+}
+
+/// Further sends, as a share of first ones, and so many saved up.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Allowance {
+    /// The share.
+    pub share: f64,
+    /// What may be saved up.
+    pub burst: u32,
+}
+
+impl From<Allowance> for Budget {
+    fn from(Allowance { share, burst }: Allowance) -> Budget {
+        Budget { share: Share(if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 }), burst }
+    }
+}
+
+/// What one sidecar may send a cold server.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ColdLease {
+    /// So many whole requests. One lease is told again as it was given: what was sent of it stays sent while its end
+    /// is the same.
+    pub requests: u32,
+    /// Until then, on the caller's clock.
+    pub until: Millis,
+}
+
+/// Where requests may go: each to the zones of its class's ring and of its tenant's, where they have one.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Residency {
+    /// The zones of each ring; one without zones lets nothing through.
+    pub rings: Vec<BTreeSet<ZoneId>>,
+    /// By [`ClassId`], the place of its ring; `None` where it may go anywhere. A class past the end, or a ring
+    /// that is not there, may go nowhere: it is new, and its rules have not been told yet.
+    pub classes: Vec<Option<usize>>,
+    /// By [`TenantId`], likewise; a tenant past the end may go anywhere.
+    pub tenants: Vec<Option<usize>>,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// No server had room for it.
+    #[default]
+    Overload,
+    /// No server serves in the zones that it may go to.
+    Residency,
+    /// The fleet sheds its class.
+    Shed,
+}
+
+impl Reason {
+    /// Whether it is the usual one, which needs no word.
+    pub fn is_usual(&self) -> bool {
+        *self == Reason::Overload
+    }
+}
+
 /// Something that happened. Events at one time are handed over in order.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -327,6 +412,26 @@
     Listed(ListNews),
     /// A timer set with [`Action::WakeAt`] came due.
     Woke(u64),
+    /// What the fleet agreed on, in place of what it said before.
+    Guided(Box<Guidance>),
+    /// A server told another sidecar its load.
+    Reported {
+        /// Whose load it is.
+        upstream: UpstreamId,
+        /// Its report.
+        report: Report,
+        /// How long ago it was.
+        age: Millis,
+    },
+    /// Another sidecar's trial of an ejected server ended.
+    Tried {
+        /// The server.
+        upstream: UpstreamId,
+        /// Whether it is back.
+        well: bool,
+    },
+    /// Where requests may go from now on.
+    Within(Residency),
 }
 
 /// Something for the sidecar to do now, in order.
@@ -355,6 +460,9 @@
         request: RequestId,
         /// How long the client should stay away.
         retry_after: Millis,
+        /// Why.
+        #[serde(default, skip_serializing_if = "Reason::is_usual")]
+        reason: Reason,
     },
     /// Final answer: failed, with no promise about effects.
     Fail(RequestId),
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -154,6 +154,7 @@
             Event::Abandoned(request) => self.abandoned(request, out),
             Event::Probed { upstream, answered, report } => self.probed(upstream, answered, report),
             Event::Listed(news) => self.listed(news),
+            Event::Guided(_) | Event::Reported { .. } | Event::Tried { .. } | Event::Within(_) => {}
             Event::Woke(token) => self.woke(RequestId(token >> 1), token & 1 == 1, out),
         }
     }
@@ -163,7 +164,7 @@
             return;
         }
         let Some(class) = self.settings.classes.get(held.class.0) else {
-            return out.push(Action::Refuse { request, retry_after: 0.0 });
+            return out.push(Action::Refuse { request, retry_after: 0.0, reason: Reason::default() });
         };
         held.deadline = held.deadline.min(held.arrived + class.policy.overall.map_or(f64::MAX, |all| all.0));
         self.seen.service[held.class.0].purse.earn(class.budgets());
@@ -329,7 +330,8 @@
         if safe {
             // Soon enough to make its aim yet, and spread: all that were refused together come back.
             let soon = RETRY_AFTER * self.settings.classes[held.class.0].aim * self.rng.rand_float();
-            out.push(Action::Refuse { request, retry_after: soon.min(self.settings.limits.max_retry_after) });
+            let retry_after = soon.min(self.settings.limits.max_retry_after);
+            out.push(Action::Refuse { request, retry_after, reason: Reason::default() });
         } else {
             out.push(Action::Fail(request));
         }
--- a/crates/sagemast/src/exact.rs
+++ b/crates/sagemast/src/exact.rs
@@ -17,3 +17,26 @@
         Ok(Rand64::from_state((part(&state)?, part(&increment)?)))
     }
 }
+
+/// A map as a list of pairs: JSON has no numbers for keys.
+pub(crate) mod pairs {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub fn serialize<K: Serialize, V: Serialize, S: Serializer>(
+        map: &Option<BTreeMap<K, V>>,
+        to: S,
+    ) -> Result<S::Ok, S::Error> {
+        map.as_ref().map(|map| map.iter().collect::<Vec<_>>()).serialize(to)
+    }
+
+    pub fn deserialize<'de, K, V, D>(from: D) -> Result<Option<BTreeMap<K, V>>, D::Error>
+    where
+        K: Deserialize<'de> + Ord,
+        V: Deserialize<'de>,
+        D: Deserializer<'de>,
+    {
+        Ok(Option::<Vec<(K, V)>>::deserialize(from)?.map(|pairs| pairs.into_iter().collect()))
+    }
+}
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -321,7 +321,7 @@
 }
 
 /// The place of a name in a list; for a stranger a number past the end, drawn from the name itself.
-fn number_of(names: &[String], name: &str) -> u64 {
+pub fn number_of(names: &[String], name: &str) -> u64 {
     let stranger = || name.bytes().fold(1 << 32, |sum: u64, byte| sum.wrapping_mul(257) + u64::from(byte));
     names.iter().position(|known| known == name).map_or_else(stranger, |place| place as u64)
 }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -226,7 +226,7 @@
             Action::Cancel { request, attempt } => {
                 WireAction::Revoke { xid: Hex(request.0), shot: attempt.0 }
             }
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 WireAction::PushBack { xid: Hex(request.0), come_back: retry_after }
             }
             Action::Fail(request) => WireAction::Fail { xid: Hex(request.0) },
