--- a/crates/residency/src/keeper.rs
+++ b/crates/residency/src/keeper.rs
@@ -7,90 +7,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::binding::{Binding, Verdict};
 use crate::codec::{
     Digest, Head, PIECES, head_body, piece_bodies, pieces_of, read, read_head, read_piece, write,
 };
-use crate::content::{Content, Filter, key_of, mix, zone_key};
+use crate::content::{Content, Filter, mix};
 use crate::names::Service;
 use crate::rules::Rules;
 
 /// The key of a head's fact; pieces have those from 1 on.
 const HEAD: u64 = 0;
 
-/// What may be done with a request towards a zone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It may be sent there.
-    Allowed,
-    /// Its rules forbid that.
-    Outside,
-    /// Rules that bind it are known of and not yet here: nothing of it may be sent at all.
-    Waiting {
-        /// The generation that is waited for; 0 while a new process listens for any.
-        generation: u64,
-    },
-}
-
-/// Where a service's requests may go now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stand<'b> {
-    /// Anywhere: no rule is for it.
-    Free,
-    /// To zones with these keys ([`zone_key`]).
-    Within(&'b BTreeSet<u64>),
-    /// Nowhere, until the rules of this generation are here; 0 while a new process listens for any.
-    Waiting(u64),
-}
-
-impl Stand<'_> {
-    /// The verdict for a zone.
-    pub fn verdict(self, zone: &str) -> Verdict {
-        match self {
-            Stand::Free => Verdict::Allowed,
-            Stand::Within(zones) if zones.contains(&zone_key(zone)) => Verdict::Allowed,
-            Stand::Within(_) => Verdict::Outside,
-            Stand::Waiting(generation) => Verdict::Waiting { generation },
-        }
-    }
-}
-
-/// What binds now.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Binding {
-    version: u64,
-    generation: u64,
-    content: Arc<Content>,
-    /// A newer generation, or another content of this, that was heard of, and the services that it may be for.
-    awaited: Option<(u64, Filter)>,
-    /// Whether a new process still listens for what others hold.
-    listening: bool,
-}
-
-static NOWHERE: BTreeSet<u64> = BTreeSet::new();
-
-impl Binding {
-    /// A number that changes only when something here does.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
-    /// Where a service's requests may go.
-    pub fn of(&self, service: &Service) -> Stand<'_> {
-        self.of_key(key_of(service))
-    }
-
-    /// The same by the service's key.
-    pub fn of_key(&self, service: u64) -> Stand<'_> {
-        let ruled = self.content.services.get(&service);
-        match self.awaited {
-            Some((generation, concerned)) if concerned.may_hold(service) => Stand::Waiting(generation),
-            _ if self.listening && ruled.is_some() => Stand::Waiting(0),
-            _ if self.content.closed => Stand::Within(&NOWHERE),
-            _ => ruled.map_or(Stand::Free, Stand::Within),
-        }
-    }
-}
-
 /// How long a new process listens where nobody is heard.
 pub const LISTEN_MS: u64 = 1_000;
 
@@ -287,6 +214,11 @@
         self.generation
     }
 
+    /// What is held, by keys, whatever is waited for.
+    pub fn content(&self) -> &Content {
+        &self.content
+    }
+
     /// The generation that is waited for, which may be the held one in another form.
     pub fn awaits(&self) -> Option<u64> {
         self.binding.awaited.map(|(generation, _)| generation)
@@ -368,14 +300,16 @@
         if newest.is_some_and(|newest| head.generation > newest) {
             (self.awaited, self.flooded) = (BTreeMap::new(), None);
         }
-        // In one life the rules of a generation only tighten: who has the later ones needs no earlier ones.
+        // In one life the rules of a generation only tighten, so that what a member held before, or at a lower step, is
+        // part of what it holds now. Who has the later ones needs no earlier ones.
         let claim = (owner, head.life);
         let step_of = |awaited: &Awaited| awaited.claims.get(&claim).copied();
         if self.awaited.values().filter_map(step_of).any(|step| step > head.step) {
             return;
         }
         self.awaited.retain(|digest, awaited| {
-            *digest == head.digest || step_of(awaited).is_none_or(|step| step >= head.step)
+            let later = *digest == head.before || step_of(awaited).is_some_and(|step| step < head.step);
+            *digest == head.digest || !later
         });
         if head.generation == self.generation && self.joined.contains(&head.digest) {
             return;
--- a/crates/residency/src/rules.rs
+++ b/crates/residency/src/rules.rs
@@ -29,6 +29,8 @@
     generation: u64,
     regions: BTreeMap<String, BTreeSet<String>>,
     rules: BTreeMap<Service, Ruled>,
+    /// Known zones that are of no region, and so outside every rule.
+    outside: BTreeSet<String>,
 }
 
 /// What a service may use.
@@ -71,7 +73,9 @@
             check.refuse("generation", format!("{generation} is not between 1 and {GENERATION_MOST}"));
         }
         let rules = rules.into_iter().map(|(_, service, ruled)| (service.clone(), ruled.clone())).collect();
-        let read = Rules { generation, regions, rules };
+        let is_outside = |zone: &&String| !regions.values().any(|zones| zones.contains(*zone));
+        let outside = context.zones.iter().filter(is_outside).cloned().collect();
+        let read = Rules { generation, regions, rules, outside };
         check.size(&read);
         if check.faults.is_empty() { Ok(read) } else { Err(check.faults) }
     }
@@ -136,6 +140,10 @@
             // Writing to a text cannot fail.
             let _ = write!(text, "\n  {service}: {}: zones {}", regions.join(", "), zones.join(", "));
         }
+        if !self.outside.is_empty() {
+            let zones: Vec<&str> = self.outside.iter().map(String::as_str).collect();
+            let _ = write!(text, "\n  of no region, and so outside every rule: zones {}", zones.join(", "));
+        }
         text
     }
 }
