--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts.rs
@@ -1,29 +1,614 @@
-//! Facts of all members.
+//! Small records by owner that reach all members: the newest of an owner, kind and key wins.
+//!
+//! **Which is newer.** An owner stamps each of its facts with the incarnation of its process and a version that grows
+//! with each. The higher pair wins, and of an owner of which a newer incarnation is known nothing older is taken.
+//!
+//! **How they spread.** Each period a member tells [`FANOUT`] random living members a datagram each. Rare kinds go first,
+//! what was told least before the rest, each up to [`Facts::tells`] times, a number that grows with the logarithm of the
+//! fleet; frequent kinds ([`frequent`]) take what room is left, the youngest first, and the last datagram of a period
+//! carries them first. So the traffic of a member is bounded whatever the fleet, and in a large one what is held of frequent
+//! kinds is a random sample of members, the newest first.
+//!
+//! **What is missed.** Once a period a member compares its rare facts with one random other: 32 digests of what owners
+//! said, by the owner's place; whoever sees one that differs answers with digests by owner, and for those that differ
+//! facts are told both ways, [`ANSWERED`] datagrams at most. A member that was cut off or started anew catches up so, in
+//! a time that grows with what it missed and not with the fleet.
+//!
+//! **How they end.** A fact that its owner takes back stays as one with an empty body until that expires; one of a gone
+//! member ends; so does one that was not said again for [`Facts::expiry`]. Only ages are sent, never times; a fact that is
+//! told by several is as old as the oldest word of it. Ages leave out the time on the way.
+//!
+//! Whatever others say, an owner has at most [`OWNED`] facts, [`FACT_BYTES`] each.
 
-use crate::api::{Config, Fact, FactKind, MemberId, Millis};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::api::{Config, FACT_BYTES, Fact, FactKind, MemberId, Millis};
+use crate::wire::{HIGHEST_INCARNATION, Kind, Outbox, ROOM};
+
+/// How many facts of one owner are held at most, those taken back included.
+pub const OWNED: usize = 96;
+
+/// How many members are told facts in a period: one datagram each.
+pub const FANOUT: usize = 4;
+
+/// How many datagrams of facts one step of a comparison brings at most.
+pub const ANSWERED: usize = 4;
+
+/// How many digests stand in one step of a comparison.
+const DIGESTS: u16 = 32;
+
+/// The highest version. An owner that says a thousand facts a second gets there in 24 days; it then starts anew as a
+/// newer incarnation would. A higher one is absurd.
+const HIGHEST_VERSION: u32 = 1 << 31;
+
+/// The highest age that is sent, in milliseconds: four and a half hours, beyond any expiry.
+const HIGHEST_AGE: u32 = 1 << 24;
+
+/// Whether a kind is said anew all the time, so that a lost one matters little.
+pub fn frequent(kind: FactKind) -> bool {
+    matches!(kind, FactKind::LOAD | FactKind::REPORT | FactKind::LEVEL)
+}
+
+/// What a fact is found by: in this order all of a kind stand together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    kind: FactKind,
+    owner: MemberId,
+    key: u64,
+}
+
+/// Where a fact waits to be told: by how often it was told, then the youngest first.
+type Turn = (u8, Reverse<i64>, Place);
+
+#[derive(Debug)]
+struct Held {
+    incarnation: u64,
+    version: u32,
+    body: Vec<u8>,
+    /// When its owner said it, by this member's clock, which may have stood below zero then.
+    said: i64,
+    /// How often it was told, while it is still told.
+    told: Option<u8>,
+}
+
+/// A fact as it is sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamped {
+    /// Whose it is.
+    pub owner: MemberId,
+    /// The incarnation of the owner's process.
+    pub incarnation: u64,
+    /// Higher for what the owner said later.
+    pub version: u32,
+    /// How long ago the owner said it, in milliseconds.
+    pub age: u32,
+    /// What it says.
+    pub fact: Fact,
+}
+
+/// A step of a comparison.
+#[derive(Debug, Serialize, Deserialize)]
+enum Compare {
+    /// Digests of what the owners of places that leave this remainder by [`DIGESTS`] said.
+    Remainders(Vec<u32>),
+    /// Digests by owner, for the owners `first`, `first` + 32, `first` + 64 and so on.
+    Owners { first: u16, digests: Vec<u32> },
+    /// Tell what is known of these owners.
+    Want(Vec<MemberId>),
+}
+
+/// What changed for this member by what it heard.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// Whose fact.
+    pub owner: MemberId,
+    /// The fact; with an empty body it ended.
+    pub fact: Fact,
+    /// Its age in milliseconds.
+    pub age: Millis,
+}
 
 /// The facts that a member holds, its own and others'.
 #[derive(Debug)]
-pub struct Facts {}
+pub struct Facts {
+    me: MemberId,
+    incarnation: u64,
+    version: u32,
+    period: Millis,
+    held: BTreeMap<Place, Held>,
+    /// By owner: the newest incarnation that is known, how many facts are held, and the digest of the rare ones.
+    owners: Vec<Owner>,
+    rare: BTreeSet<Turn>,
+    often: BTreeSet<Turn>,
+    news: Vec<News>,
+    /// When own rare facts are said again, and expired ones are looked for.
+    again: Millis,
+    sweep: Millis,
+    refused: u64,
+    rng: Pcg64Mcg,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Owner {
+    incarnation: u64,
+    held: usize,
+    digest: u32,
+}
 
 impl Facts {
     /// No facts yet, at a process that started with this incarnation.
-    pub fn new(_config: &Config, _now: Millis, _incarnation: u64, _seed: u64) -> Facts {
-        Facts {}
+    pub fn new(config: &Config, now: Millis, incarnation: u64, seed: u64) -> Facts {
+        let mut owners = vec![Owner::default(); config.members.len()];
+        if let Some(mine) = owners.get_mut(usize::from(config.me.0)) {
+            mine.incarnation = incarnation;
+        }
+        let mut facts = Facts {
+            me: config.me,
+            incarnation,
+            version: 0,
+            period: config.timing.period.max(1),
+            held: BTreeMap::new(),
+            owners,
+            rare: BTreeSet::new(),
+            often: BTreeSet::new(),
+            news: Vec::new(),
+            again: 0,
+            sweep: now,
+            refused: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        };
+        facts.again = now.saturating_add(facts.interval());
+        facts
+    }
+
+    /// How often a member passes a fact on: 3 and the logarithm of the fleet.
+    pub fn tells(&self) -> u8 {
+        let doublings = usize::BITS - self.owners.len().leading_zeros();
+        3 + u8::try_from(doublings).unwrap_or(u8::MAX / 2)
+    }
+
+    /// How often a member says its rare facts again, in milliseconds: as much longer as there are more members, so that
+    /// all together say as many in a second whatever the fleet.
+    pub fn interval(&self) -> Millis {
+        self.period.saturating_mul(20 + self.owners.len() as u64)
+    }
+
+    /// How old a fact becomes, in milliseconds.
+    pub fn expiry(&self, kind: FactKind) -> Millis {
+        match frequent(kind) {
+            true => self.period.saturating_mul(15),
+            false => self.interval().saturating_mul(4),
+        }
+    }
+
+    /// Facts that were not taken: of nobody configured, too long, too many, absurd.
+    pub fn refused(&self) -> u64 {
+        self.refused
     }
 
-    /// Says a fact of this member's own; one with an empty body takes it back. False: there are too many already.
-    pub fn put(&mut self, _now: Millis, _fact: Fact) -> bool {
-        false
+    /// Says a fact of this member's own; one with an empty body takes it back. False: it is too long, or there are too many
+    /// already.
+    pub fn put(&mut self, now: Millis, fact: Fact) -> bool {
+        let place = Place { kind: fact.kind, owner: self.me, key: fact.key };
+        let held = self.held.get(&place);
+        if held.is_none() && fact.body.is_empty() {
+            return true;
+        }
+        // What is the same already is said again by and by.
+        if held.is_some_and(|held| held.body == fact.body)
+            && !frequent(fact.kind)
+            && fact.kind != FactKind::TRIAL
+        {
+            return true;
+        }
+        let many = self.owners.get(usize::from(self.me.0)).is_none_or(|owner| owner.held >= OWNED);
+        if fact.body.len() > FACT_BYTES || (held.is_none() && many) {
+            self.refused += 1;
+            return false;
+        }
+        self.version = self.version.saturating_add(1);
+        let (incarnation, version) = (self.incarnation, self.version);
+        self.insert(place, Held { incarnation, version, body: fact.body, said: signed(now), told: Some(0) });
+        true
     }
 
     /// The body of a fact and its age in milliseconds.
-    pub fn get(&self, _now: Millis, _owner: MemberId, _kind: FactKind, _key: u64) -> Option<(&[u8], Millis)> {
-        None
+    pub fn get(&self, now: Millis, owner: MemberId, kind: FactKind, key: u64) -> Option<(&[u8], Millis)> {
+        let held = self.held.get(&Place { kind, owner, key })?;
+        let age = age(now, held.said);
+        (!held.body.is_empty() && age <= self.expiry(kind)).then_some((&held.body, age))
     }
 
     /// All facts of a kind: owner, key, body and age in milliseconds.
-    pub fn of(&self, _now: Millis, _kind: FactKind) -> impl Iterator<Item = (MemberId, u64, &[u8], Millis)> {
-        std::iter::empty()
+    pub fn of(&self, now: Millis, kind: FactKind) -> impl Iterator<Item = (MemberId, u64, &[u8], Millis)> {
+        let first = Place { kind, owner: MemberId(0), key: 0 };
+        let last = Place { kind, owner: MemberId(u16::MAX), key: u64::MAX };
+        let expiry = self.expiry(kind);
+        self.held
+            .range(first..=last)
+            .map(move |(place, held)| (place.owner, place.key, held.body.as_slice(), age(now, held.said)))
+            .filter(move |(_, _, body, age)| !body.is_empty() && *age <= expiry)
+    }
+
+    /// How many facts are held.
+    pub fn len(&self) -> usize {
+        self.held.len()
     }
+
+    /// Whether none are held.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// What changed by what was heard, since the last time.
+    pub fn news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes in a part of facts. False: it is malformed, and those before the fault are taken.
+    pub fn heard(&mut self, now: Millis, mut part: &[u8]) -> bool {
+        while !part.is_empty() {
+            let Ok((stamped, rest)) = postcard::take_from_bytes::<Stamped>(part) else { return false };
+            self.take(now, stamped);
+            part = rest;
+        }
+        true
+    }
+
+    /// Takes in one fact.
+    pub fn take(&mut self, now: Millis, stamped: Stamped) {
+        let Stamped { owner, incarnation, version, age: old, fact } = stamped;
+        let place = Place { kind: fact.kind, owner, key: fact.key };
+        let absurd = incarnation > HIGHEST_INCARNATION
+            || version > HIGHEST_VERSION
+            || old > HIGHEST_AGE
+            || fact.body.len() > FACT_BYTES;
+        let Some(known) = self.owners.get(usize::from(owner.0)).filter(|_| !absurd) else {
+            self.refused += 1;
+            return;
+        };
+        // Of this member only itself speaks; a former self's words end with it.
+        if owner == self.me || incarnation < known.incarnation {
+            return;
+        }
+        if incarnation > known.incarnation {
+            self.started(now, owner, incarnation);
+        }
+        let said = signed(now) - i64::from(old);
+        if u64::from(old) > self.expiry(fact.kind) {
+            return;
+        }
+        match self.held.get_mut(&place) {
+            Some(held) if version < held.version => return,
+            Some(held) if version == held.version => {
+                // The oldest word of it is nearest to the truth. Its turn goes by when it was said.
+                if said < held.said {
+                    let turn = held.told.map(|told| (told, Reverse(held.said), place));
+                    held.said = said;
+                    if let Some(turn) = turn {
+                        let (told, ..) = turn;
+                        let queue = if frequent(place.kind) { &mut self.often } else { &mut self.rare };
+                        queue.remove(&turn);
+                        queue.insert((told, Reverse(said), place));
+                    }
+                }
+                return;
+            }
+            Some(_) => {}
+            None if self.owners.get(usize::from(owner.0)).is_none_or(|owner| owner.held >= OWNED) => {
+                self.refused += 1;
+                return;
+            }
+            None => {}
+        }
+        let changed = self.held.get(&place).map_or(!fact.body.is_empty(), |held| held.body != fact.body);
+        self.insert(place, Held { incarnation, version, body: fact.body.clone(), said, told: Some(0) });
+        // A frequent fact matters for being new, and one of a trial for its time.
+        if changed || frequent(fact.kind) || fact.kind == FactKind::TRIAL {
+            self.news.push(News { owner, fact, age: u64::from(old) });
+        }
+    }
+
+    /// Takes in that a process of a member started: what its former self said ends.
+    pub fn started(&mut self, _now: Millis, owner: MemberId, incarnation: u64) {
+        let Some(known) = self.owners.get_mut(usize::from(owner.0)) else { return };
+        if owner == self.me || incarnation <= known.incarnation {
+            return;
+        }
+        known.incarnation = incarnation;
+        self.end(|place, held| place.owner == owner && held.incarnation < incarnation);
+    }
+
+    /// Takes in that a member is gone: what it said ends.
+    pub fn gone(&mut self, owner: MemberId) {
+        if owner != self.me {
+            self.end(|place, _| place.owner == owner);
+        }
+    }
+
+    /// Tells some of the living what is new, compares with one, says own facts again and lets old ones end.
+    pub fn every_period(&mut self, now: Millis, living: &[MemberId], out: &mut Outbox) {
+        if now >= self.again {
+            self.again = now.saturating_add(self.interval());
+            self.say_again(now);
+        }
+        if now >= self.sweep {
+            self.sweep = now.saturating_add(self.period.saturating_mul(5));
+            let (often, rare) = (self.expiry(FactKind::LOAD), self.expiry(FactKind::REACH));
+            self.end(|place, held| age(now, held.said) > if frequent(place.kind) { often } else { rare });
+        }
+        let others = self.choose(living, FANOUT + 1);
+        for (nth, &to) in others.iter().take(FANOUT).enumerate() {
+            let part = self.part(now, nth + 1 == FANOUT.min(others.len()) && nth > 0);
+            if !part.is_empty() {
+                out.push(to, Kind::FACTS, &part);
+            }
+        }
+        if let Some(&to) = others.last() {
+            let mut digests = vec![0; usize::from(DIGESTS).min(self.owners.len())];
+            for (place, owner) in self.owners.iter().enumerate() {
+                if let Some(digest) = digests.get_mut(place % usize::from(DIGESTS)) {
+                    *digest ^= owner.digest;
+                }
+            }
+            send(to, &Compare::Remainders(digests), out);
+        }
+    }
+
+    /// Takes in a step of a comparison. False: it is malformed.
+    pub fn compared(&mut self, now: Millis, from: MemberId, part: &[u8], out: &mut Outbox) -> bool {
+        let Ok(step) = postcard::from_bytes::<Compare>(part) else { return false };
+        match step {
+            Compare::Remainders(theirs) => {
+                if theirs.len() != usize::from(DIGESTS).min(self.owners.len()) {
+                    return false;
+                }
+                let mut differ: Vec<u16> = Vec::new();
+                for (remainder, &digest) in (0..).zip(&theirs) {
+                    if self.owners_from(remainder).fold(0, |all, (_, owner)| all ^ owner.digest) != digest {
+                        differ.push(remainder);
+                    }
+                }
+                // Two of those that differ: the rest have their turn in later periods.
+                for _ in 0..2.min(differ.len()) {
+                    let remainder = differ.swap_remove(self.rng.random_range(0..differ.len()));
+                    let all = self.owners_from(remainder).count();
+                    let rows = all.div_ceil(usize::from(DIGESTS));
+                    let skip = self.rng.random_range(0..rows.max(1)) * usize::from(DIGESTS);
+                    let some: Vec<(u16, Owner)> =
+                        self.owners_from(remainder).skip(skip).take(usize::from(DIGESTS)).collect();
+                    if let Some(&(first, _)) = some.first() {
+                        let digests = some.iter().map(|(_, owner)| owner.digest).collect();
+                        send(from, &Compare::Owners { first, digests }, out);
+                    }
+                }
+                true
+            }
+            Compare::Owners { first, digests } => {
+                if digests.len() > usize::from(DIGESTS) {
+                    return false;
+                }
+                let differ: Vec<MemberId> = self
+                    .owners_from(first)
+                    .zip(&digests)
+                    .filter(|((_, mine), theirs)| mine.digest != **theirs)
+                    .map(|((owner, _), _)| MemberId(owner))
+                    .collect();
+                if !differ.is_empty() {
+                    self.answer(now, from, &differ, out);
+                    send(from, &Compare::Want(differ), out);
+                }
+                true
+            }
+            Compare::Want(owners) => {
+                if owners.len() > usize::from(DIGESTS) {
+                    return false;
+                }
+                self.answer(now, from, &owners, out);
+                true
+            }
+        }
+    }
+
+    /// Tells a member what is held of these owners, beginning anywhere among them: what does not fit is told another time.
+    fn answer(&mut self, now: Millis, to: MemberId, owners: &[MemberId], out: &mut Outbox) {
+        let wanted: BTreeSet<MemberId> = owners.iter().copied().filter(|owner| *owner != to).collect();
+        let all: Vec<Place> = self
+            .held
+            .iter()
+            .filter(|(place, _)| !frequent(place.kind) && wanted.contains(&place.owner))
+            .map(|(place, _)| *place)
+            .collect();
+        if all.is_empty() {
+            return;
+        }
+        let first = self.rng.random_range(0..all.len());
+        let (mut part, mut parts) = (Vec::new(), 0);
+        for place in all.iter().cycle().skip(first).take(all.len()) {
+            let Some(held) = self.held.get(place) else { continue };
+            let Some(bytes) = encode(now, *place, held) else { continue };
+            if part.len() + bytes.len() > ROOM {
+                out.push(to, Kind::FACTS, &std::mem::take(&mut part));
+                parts += 1;
+                if parts == ANSWERED {
+                    return;
+                }
+            }
+            part.extend_from_slice(&bytes);
+        }
+        if !part.is_empty() {
+            out.push(to, Kind::FACTS, &part);
+        }
+    }
+
+    fn owners_from(&self, first: u16) -> impl Iterator<Item = (u16, Owner)> {
+        (first..u16::MAX)
+            .step_by(usize::from(DIGESTS))
+            .map_while(|place| self.owners.get(usize::from(place)).map(|owner| (place, *owner)))
+    }
+
+    /// Up to so many of the living, without this member, in random order.
+    fn choose(&mut self, living: &[MemberId], count: usize) -> Vec<MemberId> {
+        let mut chosen: Vec<MemberId> = Vec::new();
+        let others = living.len().saturating_sub(usize::from(living.contains(&self.me)));
+        while chosen.len() < count.min(others) {
+            let Some(&member) = living.get(self.rng.random_range(0..living.len())) else { break };
+            if member != self.me && !chosen.contains(&member) {
+                chosen.push(member);
+            }
+        }
+        chosen
+    }
+
+    /// A datagram's part of facts whose turn it is.
+    fn part(&mut self, now: Millis, often_first: bool) -> Vec<u8> {
+        let mut part = Vec::new();
+        let mut told = Vec::new();
+        let queues = match often_first {
+            true => [&self.often, &self.rare],
+            false => [&self.rare, &self.often],
+        };
+        'full: for queue in queues {
+            let mut misfits = 0;
+            for turn in queue {
+                let Some(bytes) = self.held.get(&turn.2).and_then(|held| encode(now, turn.2, held)) else {
+                    continue;
+                };
+                if part.len() + bytes.len() > ROOM {
+                    misfits += 1;
+                    // A shorter one may still fit; not for long.
+                    if misfits > 4 || ROOM - part.len() < 16 {
+                        continue 'full;
+                    }
+                    continue;
+                }
+                part.extend_from_slice(&bytes);
+                told.push(*turn);
+            }
+        }
+        let most = self.tells();
+        for turn in told {
+            let (told, said, place) = turn;
+            let queue = if frequent(place.kind) { &mut self.often } else { &mut self.rare };
+            queue.remove(&turn);
+            let more = Some(told + 1).filter(|told| *told < most);
+            if let Some(told) = more {
+                queue.insert((told, said, place));
+            }
+            if let Some(held) = self.held.get_mut(&place) {
+                held.told = more;
+            }
+        }
+        part
+    }
+
+    /// Says own rare facts again, as if new; what was taken back is left to expire.
+    fn say_again(&mut self, now: Millis) {
+        let mine: Vec<Place> = self
+            .held
+            .iter()
+            .filter(|(place, held)| {
+                place.owner == self.me
+                    && !frequent(place.kind)
+                    && place.kind != FactKind::TRIAL
+                    && !held.body.is_empty()
+            })
+            .map(|(place, _)| *place)
+            .collect();
+        for place in mine {
+            self.version = self.version.saturating_add(1);
+            let Some(held) = self.held.get(&place) else { continue };
+            let body = held.body.clone();
+            let (incarnation, version) = (self.incarnation, self.version);
+            self.insert(place, Held { incarnation, version, body, said: signed(now), told: Some(0) });
+        }
+    }
+
+    fn insert(&mut self, place: Place, held: Held) {
+        self.remove(place);
+        if let Some(owner) = self.owners.get_mut(usize::from(place.owner.0)) {
+            owner.held += 1;
+            owner.digest ^= mark(place, &held);
+        }
+        if let Some(told) = held.told {
+            let queue = if frequent(place.kind) { &mut self.often } else { &mut self.rare };
+            queue.insert((told, Reverse(held.said), place));
+        }
+        self.held.insert(place, held);
+    }
+
+    fn remove(&mut self, place: Place) -> Option<Held> {
+        let held = self.held.remove(&place)?;
+        if let Some(owner) = self.owners.get_mut(usize::from(place.owner.0)) {
+            owner.held = owner.held.saturating_sub(1);
+            owner.digest ^= mark(place, &held);
+        }
+        if let Some(told) = held.told {
+            let queue = if frequent(place.kind) { &mut self.often } else { &mut self.rare };
+            queue.remove(&(told, Reverse(held.said), place));
+        }
+        Some(held)
+    }
+
+    fn end(&mut self, over: impl Fn(&Place, &Held) -> bool) {
+        let me = self.me;
+        // What is taken back of one's own may be forgotten, what stands is said again.
+        let ended: Vec<Place> = self
+            .held
+            .iter()
+            .filter(|(place, held)| {
+                over(place, held) && (place.owner != me || held.body.is_empty() || frequent(place.kind))
+            })
+            .map(|(place, _)| *place)
+            .collect();
+        for place in ended {
+            let Some(held) = self.remove(place) else { continue };
+            if !held.body.is_empty() && place.owner != me {
+                let fact = Fact { kind: place.kind, key: place.key, body: Vec::new() };
+                self.news.push(News { owner: place.owner, fact, age: 0 });
+            }
+        }
+    }
+}
+
+fn send(to: MemberId, step: &Compare, out: &mut Outbox) {
+    if let Ok(body) = postcard::to_allocvec(step) {
+        out.push(to, Kind::COMPARE, &body);
+    }
+}
+
+fn encode(now: Millis, place: Place, held: &Held) -> Option<Vec<u8>> {
+    let age = u32::try_from(age(now, held.said)).unwrap_or(u32::MAX).min(HIGHEST_AGE);
+    let fact = Fact { kind: place.kind, key: place.key, body: held.body.clone() };
+    let Held { incarnation, version, .. } = *held;
+    postcard::to_allocvec(&Stamped { owner: place.owner, incarnation, version, age, fact }).ok()
+}
+
+/// What a rare fact adds to its owner's digest; frequent ones are not compared.
+fn mark(place: Place, held: &Held) -> u32 {
+    if frequent(place.kind) {
+        return 0;
+    }
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write_u8(place.kind.0);
+    hasher.write_u64(place.key);
+    hasher.write_u16(place.owner.0);
+    hasher.write_u64(held.incarnation);
+    hasher.write_u32(held.version);
+    let whole = hasher.finish();
+    (whole >> 32) as u32 ^ whole as u32
+}
+
+fn signed(now: Millis) -> i64 {
+    i64::try_from(now).unwrap_or(i64::MAX)
+}
+
+fn age(now: Millis, said: i64) -> Millis {
+    u64::try_from(signed(now).saturating_sub(said)).unwrap_or(0)
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod leases;
 pub mod membership;
 mod peer;
+pub mod rendezvous;
 pub mod wire;
 
 pub use api::{Input, Output};
