--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts.rs
@@ -11,7 +11,7 @@
 //!
 //! **What is missed.** Once a period a member compares its rare facts with one random other: 32 digests of what owners
 //! said, by the owner's place; whoever sees one that differs answers with digests by owner, and for those that differ
-//! facts are told both ways, [`ANSWERED`] datagrams at most. A member that was cut off or started anew catches up so, in
+//! facts are told both ways, [`ANSWERED`] datagrams in a period at most. A member that was cut off or started anew catches up so, in
 //! a time that grows with what it missed and not with the fleet.
 //!
 //! **How they end.** A fact that its owner takes back stays as one with an empty body until that expires; one of a gone
@@ -37,8 +37,8 @@
 /// How many members are told facts in a period: one datagram each.
 pub const FANOUT: usize = 4;
 
-/// How many datagrams of facts one step of a comparison brings at most.
-pub const ANSWERED: usize = 4;
+/// How many datagrams of facts a member tells by comparisons in a period at most.
+pub const ANSWERED: usize = 8;
 
 /// How many digests stand in one step of a comparison.
 const DIGESTS: u16 = 32;
@@ -131,6 +131,8 @@
     again: Millis,
     sweep: Millis,
     refused: u64,
+    /// How many datagrams may be answered until the next period.
+    answers: usize,
     rng: Pcg64Mcg,
 }
 
@@ -139,6 +141,8 @@
     incarnation: u64,
     held: usize,
     digest: u32,
+    /// It is gone: what others still say of it is not taken.
+    gone: bool,
 }
 
 impl Facts {
@@ -161,6 +165,7 @@
             again: 0,
             sweep: now,
             refused: 0,
+            answers: ANSWERED,
             rng: Pcg64Mcg::seed_from_u64(seed),
         };
         facts.again = now.saturating_add(facts.interval());
@@ -176,7 +181,7 @@
     /// How often a member says its rare facts again, in milliseconds: as much longer as there are more members, so that
     /// all together say as many in a second whatever the fleet.
     pub fn interval(&self) -> Millis {
-        self.period.saturating_mul(20 + self.owners.len() as u64)
+        self.period.saturating_mul(20 + self.owners.len() as u64).min(u64::from(HIGHEST_AGE) / 4)
     }
 
     /// How old a fact becomes, in milliseconds.
@@ -274,11 +279,14 @@
             return;
         };
         // Of this member only itself speaks; a former self's words end with it.
-        if owner == self.me || incarnation < known.incarnation {
+        if owner == self.me
+            || incarnation < known.incarnation
+            || (incarnation == known.incarnation && known.gone)
+        {
             return;
         }
         if incarnation > known.incarnation {
-            self.started(now, owner, incarnation);
+            self.alive(owner, incarnation);
         }
         let said = signed(now) - i64::from(old);
         if u64::from(old) > self.expiry(fact.kind) {
@@ -315,10 +323,14 @@
         }
     }
 
-    /// Takes in that a process of a member started: what its former self said ends.
-    pub fn started(&mut self, _now: Millis, owner: MemberId, incarnation: u64) {
+    /// Takes in that a process of a member lives: what its former self said ends.
+    pub fn alive(&mut self, owner: MemberId, incarnation: u64) {
         let Some(known) = self.owners.get_mut(usize::from(owner.0)) else { return };
-        if owner == self.me || incarnation <= known.incarnation {
+        if owner == self.me || incarnation < known.incarnation {
+            return;
+        }
+        known.gone = false;
+        if incarnation == known.incarnation {
             return;
         }
         known.incarnation = incarnation;
@@ -327,7 +339,10 @@
 
     /// Takes in that a member is gone: what it said ends.
     pub fn gone(&mut self, owner: MemberId) {
-        if owner != self.me {
+        if owner != self.me
+            && let Some(known) = self.owners.get_mut(usize::from(owner.0))
+        {
+            known.gone = true;
             self.end(|place, _| place.owner == owner);
         }
     }
@@ -343,9 +358,10 @@
             let (often, rare) = (self.expiry(FactKind::LOAD), self.expiry(FactKind::REACH));
             self.end(|place, held| age(now, held.said) > if frequent(place.kind) { often } else { rare });
         }
+        self.answers = ANSWERED;
         let others = self.choose(living, FANOUT + 1);
         for (nth, &to) in others.iter().take(FANOUT).enumerate() {
-            let part = self.part(now, nth + 1 == FANOUT.min(others.len()) && nth > 0);
+            let part = self.part(now, to, nth + 1 == FANOUT.min(others.len()) && nth > 0);
             if !part.is_empty() {
                 out.push(to, Kind::FACTS, &part);
             }
@@ -375,8 +391,9 @@
                         differ.push(remainder);
                     }
                 }
-                // Two of those that differ: the rest have their turn in later periods.
-                for _ in 0..2.min(differ.len()) {
+                // As many as hold 32 owners, at least two: the rest have their turn in later periods.
+                let each = self.owners.len().div_ceil(usize::from(DIGESTS));
+                for _ in 0..(usize::from(DIGESTS) / each).max(2).min(differ.len()) {
                     let remainder = differ.swap_remove(self.rng.random_range(0..differ.len()));
                     let all = self.owners_from(remainder).count();
                     let rows = all.div_ceil(usize::from(DIGESTS));
@@ -397,7 +414,7 @@
                 let differ: Vec<MemberId> = self
                     .owners_from(first)
                     .zip(&digests)
-                    .filter(|((_, mine), theirs)| mine.digest != **theirs)
+                    .filter(|((_, mine), theirs)| mine.digest != **theirs && !mine.gone)
                     .map(|((owner, _), _)| MemberId(owner))
                     .collect();
                 if !differ.is_empty() {
@@ -425,24 +442,25 @@
             .filter(|(place, _)| !frequent(place.kind) && wanted.contains(&place.owner))
             .map(|(place, _)| *place)
             .collect();
-        if all.is_empty() {
+        if all.is_empty() || self.answers == 0 {
             return;
         }
         let first = self.rng.random_range(0..all.len());
-        let (mut part, mut parts) = (Vec::new(), 0);
+        let mut part = Vec::new();
         for place in all.iter().cycle().skip(first).take(all.len()) {
             let Some(held) = self.held.get(place) else { continue };
             let Some(bytes) = encode(now, *place, held) else { continue };
             if part.len() + bytes.len() > ROOM {
                 out.push(to, Kind::FACTS, &std::mem::take(&mut part));
-                parts += 1;
-                if parts == ANSWERED {
+                self.answers -= 1;
+                if self.answers == 0 {
                     return;
                 }
             }
             part.extend_from_slice(&bytes);
         }
         if !part.is_empty() {
+            self.answers -= 1;
             out.push(to, Kind::FACTS, &part);
         }
     }
@@ -467,7 +485,7 @@
     }
 
     /// A datagram's part of facts whose turn it is.
-    fn part(&mut self, now: Millis, often_first: bool) -> Vec<u8> {
+    fn part(&mut self, now: Millis, to: MemberId, often_first: bool) -> Vec<u8> {
         let mut part = Vec::new();
         let mut told = Vec::new();
         let queues = match often_first {
@@ -477,6 +495,9 @@
         'full: for queue in queues {
             let mut misfits = 0;
             for turn in queue {
+                if turn.2.owner == to {
+                    continue;
+                }
                 let Some(bytes) = self.held.get(&turn.2).and_then(|held| encode(now, turn.2, held)) else {
                     continue;
                 };
