--- a/crates/peers/src/api.rs
+++ b/crates/peers/src/api.rs
@@ -149,7 +149,7 @@
 pub const DATAGRAM_BYTES: usize = 256;
 
 /// How a member sees discovery.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Reach {
     /// It answers, or its watch is alive.
     Up,
@@ -158,7 +158,7 @@
 }
 
 /// What a list says of a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Standing {
     /// It takes new work.
     Serving,
@@ -293,7 +293,7 @@
 }
 
 /// How a member's process should ask discovery.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Asking {
     /// As a sidecar by itself does.
     Usual,
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,5 +10,7 @@
 //! configured members only, and it never adds a server that no list named.
 
 pub mod api;
+pub mod coordinator;
+pub mod lists;
 
 pub use api::{Input, Output};
