--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,8 +10,10 @@
 //! configured members only, and it never adds a server that no list named.
 
 pub mod api;
+pub mod coordinator;
 pub mod facts;
 pub mod leases;
+pub mod lists;
 pub mod membership;
 mod peer;
 pub mod rendezvous;
