Choose members for a key by rendezvous hashing; signatures of overload met as one

Leases, probes and trials need members chosen for a key without a word between them, and the rest of the crate needs signatures to wire against. The overload part is empty yet.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,5 +10,7 @@
 //! configured members only, and it never adds a server that no list named.
 
 pub mod api;
+pub mod overload;
+pub mod rendezvous;
 
 pub use api::{Input, Output};
