--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts.rs
@@ -55,6 +55,11 @@
     matches!(kind, FactKind::LOAD | FactKind::REPORT | FactKind::LEVEL)
 }
 
+/// Whether a kind tells of a moment, so that its owner does not say it again by itself.
+fn momentary(kind: FactKind) -> bool {
+    matches!(kind, FactKind::TRIAL | FactKind::SERVER)
+}
+
 /// What a fact is found by: in this order all of a kind stand together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
@@ -241,6 +246,15 @@
             .filter(move |(_, _, body, age)| !body.is_empty() && *age <= expiry)
     }
 
+    /// This member's own facts that stand.
+    pub fn own(&self) -> Vec<Fact> {
+        self.held
+            .iter()
+            .filter(|(place, held)| place.owner == self.me && !held.body.is_empty())
+            .map(|(place, held)| Fact { kind: place.kind, key: place.key, body: held.body.clone() })
+            .collect()
+    }
+
     /// How many facts are held.
     pub fn len(&self) -> usize {
         self.held.len()
@@ -318,7 +332,7 @@
         let changed = self.held.get(&place).map_or(!fact.body.is_empty(), |held| held.body != fact.body);
         self.insert(place, Held { incarnation, version, body: fact.body.clone(), said, told: Some(0) });
         // A frequent fact matters for being new, and one of a trial for its time.
-        if changed || frequent(fact.kind) || fact.kind == FactKind::TRIAL {
+        if changed || frequent(fact.kind) || momentary(fact.kind) {
             self.news.push(News { owner, fact, age: u64::from(old) });
         }
     }
@@ -537,7 +551,7 @@
             .filter(|(place, held)| {
                 place.owner == self.me
                     && !frequent(place.kind)
-                    && place.kind != FactKind::TRIAL
+                    && !momentary(place.kind)
                     && !held.body.is_empty()
             })
             .map(|(place, _)| *place)
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod leases;
 pub mod lists;
 pub mod membership;
+pub mod overload;
 mod peer;
 pub mod rendezvous;
 pub mod wire;
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -94,8 +94,11 @@
     ((whole >> 32) as u32 ^ whole as u32).to_le_bytes()
 }
 
+/// A part of a datagram.
+pub type Part<'a> = (Kind, &'a [u8]);
+
 /// The head of a datagram and its parts, all of which are whole.
-pub fn read(bytes: &[u8], digest: [u8; 4]) -> Result<(Head, Vec<(Kind, &[u8])>), Refused> {
+pub fn read(bytes: &[u8], digest: [u8; 4]) -> Result<(Head, Vec<Part<'_>>), Refused> {
     if bytes.len() > DATAGRAM_BYTES || bytes.first() != Some(&FORMAT) {
         return Err(Refused::Malformed);
     }
@@ -108,8 +111,7 @@
     }
     let mut parts = Vec::new();
     while !rest.is_empty() {
-        let (part, after) =
-            postcard::take_from_bytes::<(Kind, &[u8])>(rest).map_err(|_| Refused::Malformed)?;
+        let (part, after) = postcard::take_from_bytes::<Part>(rest).map_err(|_| Refused::Malformed)?;
         parts.push(part);
         rest = after;
     }
