--- a/crates/peers/tests/fleet/main.rs
+++ b/crates/peers/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several members in one thread, with links that lose, double and hold back datagrams.
 
+mod hostile;
 mod play;
 
 use peers::api::{Fact, FactKind, Input, MemberId, Millis, Output, Reach};
--- a/crates/peers/tests/sum_of_leases.rs
+++ b/crates/peers/tests/sum_of_leases.rs
@@ -90,7 +90,7 @@
     };
     let mut processes: Vec<Process> = (0..count).map(|m| start(m, 0.0, 1, &mut rng)).collect();
     let mut given = Given::new();
-    let mut on_the_way: BTreeMap<(u64, u64), (usize, usize, Vec<u8>)> = BTreeMap::new();
+    let mut on_the_way: Vec<BTreeMap<(u64, u64), (usize, Vec<u8>)>> = vec![BTreeMap::new(); count];
     let mut number = 0;
     for step in 0..12_000_u64 {
         let real = step as f64 * 5.0;
@@ -112,13 +112,8 @@
                 }
                 process.ledger.every_period(now, &everyone, &mut out);
             }
-            while let Some(entry) = on_the_way.first_entry().filter(|entry| entry.key().0 <= step) {
-                let ((at, _), (from, to, bytes)) = entry.remove_entry();
-                if to != member {
-                    number += 1;
-                    on_the_way.insert((at.max(step) + u64::from(to < member), number), (from, to, bytes));
-                    break;
-                }
+            let due = on_the_way[member].split_off(&(step + 1, 0));
+            for (from, bytes) in std::mem::replace(&mut on_the_way[member], due).into_values() {
                 let (head, parts) = wire::read(&bytes, digest).expect("it is whole");
                 for (kind, part) in parts {
                     assert_eq!(kind, Kind::LEASE);
@@ -133,7 +128,7 @@
                     if !cut && !rng.random_bool(weather.loss) {
                         number += 1;
                         let at = step + 1 + (rng.random_range(0.0..weather.delay) / 5.0) as u64;
-                        on_the_way.insert((at, number), (member, to, bytes.clone()));
+                        on_the_way[to].insert((at, number), (member, bytes.clone()));
                     }
                 }
             }
