Meet overload by one level of the fleet, one budget, and few that ask each server

Members alone shed by their own guess and ask the same servers. Figures by class are shared; the level follows from the offered work and a capacity that members agree on; chances by class follow from the level alone.

--- /dev/null
+++ b/crates/peers/src/overload/level.rs
@@ -0,0 +1,230 @@
+//! The level of shedding: how far the fleet stands above what its servers can do.
+//!
+//! The level follows from two figures: the work that is offered to a member, a second, and the work that the servers
+//! can do for each member, both as means over the members heard. What is offered is counted, refused requests and all,
+//! so that the end of a load shows at once. What servers can do, the capacity, is what is learnt: it goes down while of
+//! what was let in more than [`TARGET`] finds no room, and up while it is less. Changes of load move the level without
+//! being learnt first, and the capacity, which hardly changes, is what members agree on, however late they hear of it.
+
+use crate::api::Millis;
+
+use super::admission::Order;
+use super::figures::Rates;
+use super::fleet::{Means, Word, trimmed};
+
+/// The share of what is let in that may find no room: with less, servers stand idle between requests.
+pub const TARGET: f64 = 0.06;
+
+/// From this share on, for [`ENGAGE_AFTER`], the fleet begins to shed. More than [`TARGET`], so that a load that just
+/// fits does not turn shedding on and off.
+const ENGAGE: f64 = 0.1;
+
+/// For so long must there be no room before shedding begins, and none be needed before the capacity is forgotten.
+const ENGAGE_AFTER: Millis = 500;
+const FORGET_AFTER: Millis = 2_000;
+
+/// The capacity is corrected by what was missed within so many seconds: more than twice what a change takes to come
+/// back in the members' figures, which keeps the loop from swinging.
+const LEARNT_IN_S: f64 = 2.0;
+
+/// After so many seconds in which all was let in found room, the capacity grows faster, by this much for each second
+/// more: servers that come back are used soon.
+const ROOMY_AFTER_S: f64 = 1.0;
+const ROOMY_FASTER: f64 = 2.0;
+const FASTEST: f64 = 0.4;
+
+/// How much of the way to what the others think of the capacity a member goes in a period.
+const DRAWN: f64 = 0.2;
+
+/// How far the level may move in a second, up and down.
+const SPEED_UP: f64 = 0.8;
+pub const SPEED_DOWN: f64 = 1.0;
+
+/// Less than this is not worth a change.
+const STILL: f64 = 0.004;
+
+/// Words on the level older than this do not count.
+pub const WORD_COUNTS: Millis = 1_500;
+
+/// Of the classes ordered by the share that found no room, this much of the work lies below the one that counts: what
+/// is short for servers is short for all classes, while a class that has no server left does not get better by
+/// shedding others.
+const BELOW: f64 = 0.3;
+
+/// A share of failures is taken for usual within so many seconds, and a lower one sooner: failures that shedding does
+/// not end are none of overload.
+const USUAL_UP_S: f64 = 15.0;
+const USUAL_DOWN_S: f64 = 1.0;
+
+/// The figures that move the level are averaged over so many seconds; held work that grows by less than a share of
+/// what is let in counts as steady.
+const AVERAGED_S: f64 = 0.5;
+const STEADY: f64 = 0.03;
+
+/// What found no room, as shares of what was let in.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+struct Unmet {
+    refused_or_failed: f64,
+    growth: f64,
+}
+
+impl Unmet {
+    fn all(&self) -> f64 {
+        (self.refused_or_failed + (self.growth - STEADY).max(0.0)).clamp(0.0, 1.0)
+    }
+}
+
+/// The level at one member.
+#[derive(Debug, Default)]
+pub struct Level {
+    level: f64,
+    wants: f64,
+    capacity: Option<f64>,
+    unmet: Unmet,
+    usual_failed: Vec<f64>,
+    held: Option<f64>,
+    crowded_since: Option<Millis>,
+    quiet_since: Option<Millis>,
+    roomy_s: f64,
+    told: Option<(Millis, f64)>,
+    note: Option<String>,
+}
+
+impl Level {
+    /// The level now.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// What others should hear of it.
+    pub fn word(&self) -> Word {
+        Word { level: self.level, wants: self.wants, capacity: self.capacity }
+    }
+
+    /// Why it moved, where that is new.
+    pub fn note(&mut self) -> Option<String> {
+        self.note.take()
+    }
+
+    /// Without others it fades, and what was learnt with them is forgotten.
+    pub fn alone(&mut self, passed_s: f64) {
+        let level = (self.level - SPEED_DOWN * passed_s).max(0.0);
+        let note =
+            (self.level > 0.0 && level == 0.0).then(|| "no peer is heard: no shedding as one".to_string());
+        *self = Level { level, note: note.or(self.note.take()), ..Level::default() };
+    }
+
+    /// Moves on by a period that took so many seconds.
+    pub fn step(&mut self, now: Millis, passed_s: f64, means: &Means, words: &[Word], order: &Order) {
+        self.look(&means.classes, passed_s);
+        let offered: f64 = means.classes.iter().map(|rates| rates.arrivals() * work(rates)).sum();
+        self.learn(now, passed_s, means, words);
+        let share = self.capacity.map_or(0.0, |capacity| 1.0 - capacity / offered.max(1e-9));
+        self.wants = order.level_for(share, &means.classes);
+        let wanted = words.iter().map(|word| word.wants).chain([self.wants]).collect();
+        let goal = trimmed(wanted).unwrap_or(0.0).clamp(0.0, 1.0);
+        if (goal - self.level).abs() > STILL || goal == 0.0 {
+            self.level += (goal - self.level).clamp(-SPEED_DOWN * passed_s, SPEED_UP * passed_s);
+        }
+        self.tell(now, means);
+    }
+
+    /// What of the things let in found no room.
+    fn look(&mut self, classes: &[Rates], passed_s: f64) {
+        self.usual_failed.resize(classes.len(), 0.0);
+        let average = 1.0 - (-passed_s / AVERAGED_S).exp();
+        let mut shares: Vec<(f64, f64)> = Vec::with_capacity(classes.len());
+        for (rates, usual) in classes.iter().zip(&mut self.usual_failed) {
+            if rates.let_in <= 0.0 {
+                continue;
+            }
+            let failed = (rates.failed / rates.let_in).clamp(0.0, 1.0);
+            let over = if failed > *usual { USUAL_UP_S } else { USUAL_DOWN_S };
+            *usual += (failed - *usual) * (1.0 - (-passed_s / over).exp());
+            // What the level itself turned away is known but for chance, which may make this negative.
+            let by_level = rates.arrivals() - rates.let_in;
+            let refused = (rates.refused - by_level) / rates.let_in;
+            shares.push(((refused + failed - *usual).clamp(-1.0, 1.0), rates.let_in * work(rates)));
+        }
+        shares.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let total: f64 = shares.iter().map(|(_, weight)| weight).sum();
+        let mut below = 0.0;
+        let counts = shares.iter().find(|(_, weight)| {
+            below += weight;
+            below >= BELOW * total
+        });
+        let unmet = counts.map_or(0.0, |(share, _)| *share);
+        self.unmet.refused_or_failed += average * (unmet - self.unmet.refused_or_failed);
+        let held: f64 = classes.iter().map(|rates| rates.held).sum();
+        let let_in: f64 = classes.iter().map(|rates| rates.let_in).sum();
+        let grown = self.held.map_or(0.0, |before| (held - before) / passed_s);
+        let growth = if let_in > 0.0 { (grown / let_in).clamp(-1.0, 1.0) } else { 0.0 };
+        self.held = Some(held);
+        // A change and its undoing make no growth: averaged over longer.
+        self.unmet.growth += average / 2.0 * (growth - self.unmet.growth);
+    }
+
+    /// Begins, corrects or forgets the capacity.
+    fn learn(&mut self, now: Millis, passed_s: f64, means: &Means, words: &[Word]) {
+        let unmet = self.unmet.all();
+        let let_in: f64 = means.classes.iter().map(|rates| rates.let_in * work(rates)).sum();
+        let others: Vec<f64> =
+            words.iter().filter_map(|word| word.capacity).filter(|&known| known > 0.0).collect();
+        let shedding = words.iter().filter(|word| word.capacity.is_some() && word.wants > 0.0).count();
+        let most_shed = 2 * shedding > words.len();
+        let others = trimmed(others);
+        let Some(capacity) = self.capacity else {
+            let since = *self.crowded_since.get_or_insert(now);
+            if unmet <= ENGAGE {
+                self.crowded_since = None;
+            }
+            if most_shed {
+                self.capacity = others;
+            } else if unmet > ENGAGE && now.saturating_sub(since) >= ENGAGE_AFTER {
+                self.capacity = Some(let_in * (1.0 - unmet + TARGET));
+            }
+            (self.quiet_since, self.roomy_s) = (None, 0.0);
+            return;
+        };
+        self.roomy_s = if unmet < TARGET / 2.0 { self.roomy_s + passed_s } else { 0.0 };
+        let faster = 1.0 + ROOMY_FASTER * (self.roomy_s - ROOMY_AFTER_S).max(0.0);
+        let missed = (1.0 - unmet + TARGET).max(0.1).ln() / LEARNT_IN_S;
+        let rate = if missed > 0.0 { (missed * faster).min(FASTEST) } else { missed };
+        let drawn = others.map_or(0.0, |others| DRAWN * (others / capacity).ln().clamp(-1.0, 1.0));
+        self.capacity = Some((capacity * (rate * passed_s + drawn).exp()).clamp(1e-6, 1e12));
+        let quiet = self.level == 0.0 && self.wants == 0.0;
+        let since = *self.quiet_since.get_or_insert(now);
+        if !quiet {
+            self.quiet_since = None;
+        } else if now.saturating_sub(since) >= FORGET_AFTER {
+            (self.capacity, self.crowded_since) = (None, None);
+        }
+    }
+
+    /// Writes a line where shedding began, ended, or moved far since the last line.
+    fn tell(&mut self, now: Millis, means: &Means) {
+        let (at, before) = self.told.unwrap_or((0, 0.0));
+        let turned = (before == 0.0) != (self.level == 0.0);
+        let passed = now.saturating_sub(at);
+        let due =
+            if turned { passed >= 1_000 } else { passed >= 10_000 && (self.level - before).abs() >= 0.2 };
+        if !(due || turned && self.told.is_none()) {
+            return;
+        }
+        self.told = Some((now, self.level));
+        self.note = Some(format!(
+            "level of shedding {before:.2} -> {:.2}, wanted {:.2}: of what was let in {:.0}% found no room or failed, \
+             held work grows by {:.0}% of it a second, by the figures of {} members",
+            self.level,
+            self.wants,
+            100.0 * self.unmet.refused_or_failed,
+            100.0 * self.unmet.growth,
+            means.members,
+        ));
+    }
+}
+
+/// The work of a request; where no time is known all count alike.
+fn work(rates: &Rates) -> f64 {
+    rates.service_ms.max(1.0)
+}
--- a/crates/peers/src/overload/mod.rs
+++ b/crates/peers/src/overload/mod.rs
@@ -1,66 +1,189 @@
 //! Overload met by all members alike.
+//!
+//! Members tell each other what they did, by class ([`figures`]). Each takes means over those that it heard ([`fleet`])
+//! and follows one level of shedding from them ([`level`]), which the members' words keep together. From the level comes
+//! the chance that a class is let in ([`admission`]): the same at all members, so that none refuses a dear request while
+//! another serves a cheap one. Further sends have one budget ([`budgets`]), and each server has few members that ask for its
+//! load and one that tries it while it is ejected ([`duties`]).
+//!
+//! Whoever hears nobody leaves its module to itself.
 
 use std::sync::Arc;
 
-use crate::api::{ClassCounts, Config, Fact, Guidance, Known, MemberId, Millis, Report, ServerKey};
+use serde::{Deserialize, Serialize};
+
+use crate::api::{ClassCounts, Config, Fact, FactKind, Guidance, Known, MemberId, Millis, Report, ServerKey};
+
+mod admission;
+mod budgets;
+mod duties;
+mod figures;
+mod fleet;
+mod level;
+#[cfg(test)]
+mod tests;
+
+pub use budgets::fleet_burst;
+pub use duties::{ASKED_BY, TAKEN_OVER, report_of, trial_of};
+
+use admission::Order;
+use budgets::Rights;
+use duties::Duties;
+use figures::Own;
+use fleet::{Table, Word};
+use level::{Level, WORD_COUNTS};
+
+/// Who has heard nobody for so long is alone.
+pub const ALONE_AFTER: Millis = 3_000;
 
 /// What a member knows of the fleet's load, and what it makes of it.
 #[derive(Debug)]
 pub struct Overload {
     config: Arc<Config>,
+    own: Own,
+    table: Table,
+    level: Level,
+    duties: Duties,
+    rights: Rights,
+    /// What was let in, by class, since the last decision.
+    admit: Vec<f64>,
+    decided: Option<Millis>,
+    turn: u64,
 }
 
 impl Overload {
     /// A member that has heard nobody yet.
     pub fn new(config: Arc<Config>, _now: Millis) -> Overload {
-        Overload { config }
+        let members: Vec<MemberId> = (0..=u16::MAX).take(config.members.len()).map(MemberId).collect();
+        Overload {
+            rights: Rights::new(config.me, &members),
+            own: Own::default(),
+            table: Table::default(),
+            level: Level::default(),
+            duties: Duties::default(),
+            admit: Vec::new(),
+            decided: None,
+            turn: 0,
+            config,
+        }
     }
 
     /// Takes what this member's process did since the last time, by class, and gives what others should hear of it.
-    pub fn counted(&mut self, _now: Millis, _counts: &[ClassCounts]) -> Vec<Fact> {
-        Vec::new()
+    /// `refused` counts what the level turned away and what found no room, but not what residency forbade: no
+    /// shedding makes room for that.
+    pub fn counted(&mut self, now: Millis, counts: &[ClassCounts]) -> Vec<Fact> {
+        let counts = counts.get(..self.config.classes.len()).unwrap_or(counts);
+        self.own.count(now, counts, &self.admit, self.config.timing.period);
+        self.own.facts()
     }
 
     /// Takes a fact of another member: LOAD, LEVEL, REPORT or TRIAL; others are left alone. `now` is when it was said,
     /// as far as its age is known, else when it came.
-    pub fn heard(&mut self, _now: Millis, _owner: MemberId, _fact: &Fact) {}
+    pub fn heard(&mut self, now: Millis, owner: MemberId, fact: &Fact) {
+        if owner == self.config.me || usize::from(owner.0) >= self.config.members.len() {
+            return;
+        }
+        match fact.kind {
+            FactKind::LOAD => {
+                if let Some((first, rates)) = figures::read(fact) {
+                    self.table.load(now, owner, first, rates, self.config.classes.len());
+                }
+            }
+            FactKind::LEVEL => {
+                if let Some(word) = word_of(fact) {
+                    self.table.word(now, owner, word);
+                }
+            }
+            _ => self.duties.heard(now, fact),
+        }
+    }
 
     /// Takes all servers that the module may use.
-    pub fn servers(&mut self, _now: Millis, _servers: &[Known]) {}
+    pub fn servers(&mut self, now: Millis, servers: &[Known]) {
+        self.duties.servers(now, servers);
+    }
 
     /// A server told its load to this member: what others should hear, if it was this member's duty to ask.
-    pub fn reported(&mut self, _now: Millis, _server: ServerKey, _report: Report) -> Option<Fact> {
-        None
+    pub fn reported(&mut self, now: Millis, server: ServerKey, report: Report) -> Option<Fact> {
+        self.duties.reported(now, server, report)
     }
 
     /// A trial of an ejected server by this member ended: what others should hear.
-    pub fn tried(&mut self, _now: Millis, _server: ServerKey, _well: bool) -> Option<Fact> {
-        None
+    pub fn tried(&mut self, now: Millis, server: ServerKey, well: bool) -> Option<Fact> {
+        self.duties.tried(now, server, well)
     }
 
-    /// Once a period: what the module should go by, and facts of this member to spread. `cold` is left absent.
-    pub fn decide(&mut self, _now: Millis, _me: MemberId, _living: &[MemberId]) -> (Guidance, Vec<Fact>) {
-        let _ = &self.config;
-        (Guidance::default(), Vec::new())
+    /// Once a period: what the module should go by, and facts of this member to spread. `cold` is left absent. `living`
+    /// are the living members; this one counts among them whether named or not.
+    pub fn decide(&mut self, now: Millis, me: MemberId, living: &[MemberId]) -> (Guidance, Vec<Fact>) {
+        let period = self.config.timing.period;
+        let passed = self.decided.map_or(period, |at| now.saturating_sub(at));
+        // A process that stood still does not move the level by all that time at once.
+        let passed_s = passed.clamp(1, 5 * period.max(1)) as f64 / 1_000.0;
+        self.decided = Some(now);
+        self.turn += 1;
+        self.table.expire(now);
+        let mut living = living.to_vec();
+        living.push(me);
+        self.duties.living(now, me, living);
+        let living = self.duties.all();
+        let heard = self.table.last_heard().is_some_and(|at| now.saturating_sub(at) <= ALONE_AFTER);
+        let together = heard && living.len() > 1;
+        let classes = self.config.classes.len();
+        let means = self.table.means(now, &self.own.rates, classes);
+        let order = Order::new(&self.config.classes, &means.classes, self.config.class_floor);
+        if together {
+            let words: Vec<Word> = self.table.words(now, WORD_COUNTS).collect();
+            self.level.step(now, passed_s, &means, &words, &order);
+        } else {
+            self.level.alone(passed_s);
+        }
+        let level = self.level.level();
+        self.admit = if level > 0.0 { order.admit(level) } else { Vec::new() };
+        let fact = said(self.level.word()).into_iter().collect();
+        let mut guidance = Guidance { admit: self.admit.clone(), level, ..Guidance::default() };
+        if together {
+            let [retries, copies] = self.rights.allowed(&self.config.budgets, &self.own.rates, level);
+            guidance.retries = Some(retries);
+            guidance.copies = Some(copies);
+            guidance.probes = Some(self.duties.probes(now));
+            guidance.trials = Some(self.duties.trials(now));
+            guidance.come_back = Some(budgets::come_back(me, living, self.turn));
+        }
+        (guidance, fact)
     }
 
     /// The level of shedding, 0 to 1.
     pub fn level(&self) -> f64 {
-        0.0
+        self.level.level()
     }
 
     /// Why the level moved, where there is something new to tell: rare by itself.
     pub fn note(&mut self) -> Option<String> {
-        None
+        self.level.note()
     }
 }
 
-/// What a REPORT fact says; `None` for one that makes no sense.
-pub fn report_of(_fact: &Fact) -> Option<Report> {
-    None
+/// A word on the level as a fact's body: the two levels in 65,535ths, the capacity by its code, 0 for none.
+#[derive(Serialize, Deserialize)]
+struct Said {
+    level: u16,
+    wants: u16,
+    capacity: u16,
+}
+
+fn said(word: Word) -> Option<Fact> {
+    // The casts stay in range.
+    let part = |level: f64| (level.clamp(0.0, 1.0) * f64::from(u16::MAX)).round() as u16;
+    let capacity = word.capacity.map_or(0, |capacity| figures::code(capacity).max(1));
+    let body =
+        postcard::to_allocvec(&Said { level: part(word.level), wants: part(word.wants), capacity }).ok()?;
+    Some(Fact { kind: FactKind::LEVEL, key: 0, body })
 }
 
-/// What a TRIAL fact says: whether the server answered.
-pub fn trial_of(_fact: &Fact) -> Option<bool> {
-    None
+fn word_of(fact: &Fact) -> Option<Word> {
+    let (Said { level, wants, capacity }, rest) = postcard::take_from_bytes(&fact.body).ok()?;
+    let part = |level: u16| f64::from(level) / f64::from(u16::MAX);
+    let capacity = (capacity > 0).then(|| figures::figure(capacity));
+    rest.is_empty().then_some(Word { level: part(level), wants: part(wants), capacity })
 }
--- a/crates/peers/src/rendezvous.rs
+++ b/crates/peers/src/rendezvous.rs
@@ -11,13 +11,22 @@
 }
 
 /// Up to `k` of the members, the heaviest for the key first. Members of the same weight, which is next to impossible,
-/// go by their place in the list of members, so that the order of `members` never matters.
+/// go by their place in the list of members, so that the order of `members` never matters. Made for few of many: the
+/// work grows with the members, and by `k` for those that come in.
 pub fn owners(key: u64, members: &[MemberId], k: usize) -> Vec<MemberId> {
-    let mut weighed: Vec<(u64, MemberId)> =
-        members.iter().map(|&member| (weight(key, member), member)).collect();
-    weighed.sort_unstable_by(|one, other| other.cmp(one));
-    weighed.dedup();
-    weighed.into_iter().take(k).map(|(_, member)| member).collect()
+    let mut best: Vec<(u64, MemberId)> = Vec::with_capacity(k.min(members.len()) + 1);
+    for &member in members {
+        let weighed = (weight(key, member), member);
+        if best.len() == k && best.last().is_none_or(|last| *last >= weighed) {
+            continue;
+        }
+        let place = best.partition_point(|other| *other > weighed);
+        if best.get(place) != Some(&weighed) {
+            best.insert(place, weighed);
+            best.truncate(k);
+        }
+    }
+    best.into_iter().map(|(_, member)| member).collect()
 }
 
 /// Whole shares of a bound, one for each member in the order given, that add up to the bound exactly: an equal part for
