Learn the capacity from what found room, and draw levels together

Levels of 300 members lay up to 0.05 apart and overshot by a third: the sum of misses wound up while the level was on its way.

--- a/crates/peers/src/overload/level.rs
+++ b/crates/peers/src/overload/level.rs
@@ -13,19 +13,20 @@
 use super::fleet::{Means, Word, trimmed};
 
 /// The share of what is let in that may find no room: with less, servers stand idle between requests.
-pub const TARGET: f64 = 0.06;
+pub const TARGET: f64 = 0.05;
 
 /// From this share on, for [`ENGAGE_AFTER`], the fleet begins to shed. More than [`TARGET`], so that a load that just
 /// fits does not turn shedding on and off.
-const ENGAGE: f64 = 0.1;
+const ENGAGE: f64 = 0.08;
 
 /// For so long must there be no room before shedding begins, and none be needed before the capacity is forgotten.
 const ENGAGE_AFTER: Millis = 500;
 const FORGET_AFTER: Millis = 2_000;
 
-/// The capacity is corrected by what was missed within so many seconds: more than twice what a change takes to come
-/// back in the members' figures, which keeps the loop from swinging.
-const LEARNT_IN_S: f64 = 2.0;
+/// The capacity goes to what is seen of it within so many seconds, from as far as this, as a logarithm. It follows
+/// what was let in and found room and not a sum of misses, so that a level still on its way does not wind it up.
+const LEARNT_IN_S: f64 = 1.5;
+const FURTHEST: f64 = 1.5;
 
 /// After so many seconds in which all was let in found room, the capacity grows faster, by this much for each second
 /// more: servers that come back are used soon.
@@ -40,8 +41,15 @@
 const SPEED_UP: f64 = 0.8;
 pub const SPEED_DOWN: f64 = 1.0;
 
-/// Less than this is not worth a change.
-const STILL: f64 = 0.004;
+/// A level that is wanted this far away is gone to as fast as may be, and one nearby by such a share of the way in a
+/// period: what differs between samples of the fleet is mostly chance.
+const FAR: f64 = 0.1;
+const GENTLY: f64 = 0.2;
+
+/// How much of the way to the others' levels a member goes in a period, from this near: what they said is a second old
+/// where the level moves, and must not hold it back then.
+const TOGETHER: f64 = 0.4;
+const NEAR: f64 = 0.03;
 
 /// Words on the level older than this do not count.
 pub const WORD_COUNTS: Millis = 1_500;
@@ -123,9 +131,13 @@
         self.wants = order.level_for(share, &means.classes);
         let wanted = words.iter().map(|word| word.wants).chain([self.wants]).collect();
         let goal = trimmed(wanted).unwrap_or(0.0).clamp(0.0, 1.0);
-        if (goal - self.level).abs() > STILL || goal == 0.0 {
-            self.level += (goal - self.level).clamp(-SPEED_DOWN * passed_s, SPEED_UP * passed_s);
-        }
+        let others = trimmed(words.iter().map(|word| word.level).collect()).unwrap_or(self.level);
+        let still = goal == 0.0 && others < NEAR;
+        let way = goal - self.level;
+        let step = if still { way } else { way * (way.abs() / FAR).clamp(GENTLY, 1.0) };
+        let drawn = if still { 0.0 } else { TOGETHER * (others - self.level).clamp(-NEAR, NEAR) };
+        let step = (step + drawn).clamp(-SPEED_DOWN * passed_s, SPEED_UP * passed_s);
+        self.level = (self.level + step).clamp(0.0, 1.0);
         self.tell(now, means);
     }
 
@@ -188,8 +200,14 @@
         };
         self.roomy_s = if unmet < TARGET / 2.0 { self.roomy_s + passed_s } else { 0.0 };
         let faster = 1.0 + ROOMY_FASTER * (self.roomy_s - ROOMY_AFTER_S).max(0.0);
-        let missed = (1.0 - unmet + TARGET).max(0.1).ln() / LEARNT_IN_S;
-        let rate = if missed > 0.0 { (missed * faster).min(FASTEST) } else { missed };
+        // What was let in and found room is what servers can do, where there was less than was let in, and else at least
+        // that. Where the level lets in all there is no telling.
+        let seen = (let_in * (1.0 - unmet + TARGET) / capacity).max(1e-3).ln().max(-FURTHEST);
+        let rate = match unmet > TARGET {
+            true => seen.min(0.0) / LEARNT_IN_S,
+            false if self.level > 0.0 => (seen.max(0.0) / LEARNT_IN_S * faster).min(FASTEST),
+            false => 0.0,
+        };
         let drawn = others.map_or(0.0, |others| DRAWN * (others / capacity).ln().clamp(-1.0, 1.0));
         self.capacity = Some((capacity * (rate * passed_s + drawn).exp()).clamp(1e-6, 1e12));
         let quiet = self.level == 0.0 && self.wants == 0.0;
