--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts/mod.rs
@@ -20,16 +20,19 @@
 //!
 //! Whatever others say, an owner has at most [`OWNED`] facts, [`FACT_BYTES`] each.
 
+mod compare;
+mod spread;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher;
 
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
 use crate::api::{Config, FACT_BYTES, Fact, FactKind, MemberId, Millis};
-use crate::wire::{HIGHEST_INCARNATION, Kind, Outbox, ROOM};
+use crate::wire::HIGHEST_INCARNATION;
 
 /// How many facts of one owner are held at most, those taken back included.
 pub const OWNED: usize = 96;
@@ -40,9 +43,6 @@
 /// How many datagrams of facts a member tells by comparisons in a period at most.
 pub const ANSWERED: usize = 8;
 
-/// How many digests stand in one step of a comparison.
-const DIGESTS: u16 = 32;
-
 /// The highest version. An owner that says a thousand facts a second gets there in 24 days; it then starts anew as a
 /// newer incarnation would. A higher one is absurd.
 const HIGHEST_VERSION: u32 = 1 << 31;
@@ -97,17 +97,6 @@
     pub fact: Fact,
 }
 
-/// A step of a comparison.
-#[derive(Debug, Serialize, Deserialize)]
-enum Compare {
-    /// Digests of what the owners of places that leave this remainder by [`DIGESTS`] said.
-    Remainders(Vec<u32>),
-    /// Digests by owner, for the owners `first`, `first` + 32, `first` + 64 and so on.
-    Owners { first: u16, digests: Vec<u32> },
-    /// Tell what is known of these owners.
-    Want(Vec<MemberId>),
-}
-
 /// What changed for this member by what it heard.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct News {
@@ -361,210 +350,6 @@
         }
     }
 
-    /// Tells some of the living what is new, compares with one, says own facts again and lets old ones end.
-    pub fn every_period(&mut self, now: Millis, living: &[MemberId], out: &mut Outbox) {
-        if now >= self.again {
-            self.again = now.saturating_add(self.interval());
-            self.say_again(now);
-        }
-        if now >= self.sweep {
-            self.sweep = now.saturating_add(self.period.saturating_mul(5));
-            let (often, rare) = (self.expiry(FactKind::LOAD), self.expiry(FactKind::REACH));
-            self.end(|place, held| age(now, held.said) > if frequent(place.kind) { often } else { rare });
-        }
-        self.answers = ANSWERED;
-        let others = self.choose(living, FANOUT + 1);
-        for (nth, &to) in others.iter().take(FANOUT).enumerate() {
-            let part = self.part(now, to, nth + 1 == FANOUT.min(others.len()) && nth > 0);
-            if !part.is_empty() {
-                out.push(to, Kind::FACTS, &part);
-            }
-        }
-        if let Some(&to) = others.last() {
-            let mut digests = vec![0; usize::from(DIGESTS).min(self.owners.len())];
-            for (place, owner) in self.owners.iter().enumerate() {
-                if let Some(digest) = digests.get_mut(place % usize::from(DIGESTS)) {
-                    *digest ^= owner.digest;
-                }
-            }
-            send(to, &Compare::Remainders(digests), out);
-        }
-    }
-
-    /// Takes in a step of a comparison. False: it is malformed.
-    pub fn compared(&mut self, now: Millis, from: MemberId, part: &[u8], out: &mut Outbox) -> bool {
-        let Ok(step) = postcard::from_bytes::<Compare>(part) else { return false };
-        match step {
-            Compare::Remainders(theirs) => {
-                if theirs.len() != usize::from(DIGESTS).min(self.owners.len()) {
-                    return false;
-                }
-                let mut differ: Vec<u16> = Vec::new();
-                for (remainder, &digest) in (0..).zip(&theirs) {
-                    if self.owners_from(remainder).fold(0, |all, (_, owner)| all ^ owner.digest) != digest {
-                        differ.push(remainder);
-                    }
-                }
-                // As many as hold 32 owners, at least two: the rest have their turn in later periods.
-                let each = self.owners.len().div_ceil(usize::from(DIGESTS));
-                for _ in 0..(usize::from(DIGESTS) / each).max(2).min(differ.len()) {
-                    let remainder = differ.swap_remove(self.rng.random_range(0..differ.len()));
-                    let all = self.owners_from(remainder).count();
-                    let rows = all.div_ceil(usize::from(DIGESTS));
-                    let skip = self.rng.random_range(0..rows.max(1)) * usize::from(DIGESTS);
-                    let some: Vec<(u16, Owner)> =
-                        self.owners_from(remainder).skip(skip).take(usize::from(DIGESTS)).collect();
-                    if let Some(&(first, _)) = some.first() {
-                        let digests = some.iter().map(|(_, owner)| owner.digest).collect();
-                        send(from, &Compare::Owners { first, digests }, out);
-                    }
-                }
-                true
-            }
-            Compare::Owners { first, digests } => {
-                if digests.len() > usize::from(DIGESTS) {
-                    return false;
-                }
-                let differ: Vec<MemberId> = self
-                    .owners_from(first)
-                    .zip(&digests)
-                    .filter(|((_, mine), theirs)| mine.digest != **theirs && !mine.gone)
-                    .map(|((owner, _), _)| MemberId(owner))
-                    .collect();
-                if !differ.is_empty() {
-                    self.answer(now, from, &differ, out);
-                    send(from, &Compare::Want(differ), out);
-                }
-                true
-            }
-            Compare::Want(owners) => {
-                if owners.len() > usize::from(DIGESTS) {
-                    return false;
-                }
-                self.answer(now, from, &owners, out);
-                true
-            }
-        }
-    }
-
-    /// Tells a member what is held of these owners, beginning anywhere among them: what does not fit is told another time.
-    fn answer(&mut self, now: Millis, to: MemberId, owners: &[MemberId], out: &mut Outbox) {
-        let wanted: BTreeSet<MemberId> = owners.iter().copied().filter(|owner| *owner != to).collect();
-        let all: Vec<Place> = self
-            .held
-            .iter()
-            .filter(|(place, _)| !frequent(place.kind) && wanted.contains(&place.owner))
-            .map(|(place, _)| *place)
-            .collect();
-        if all.is_empty() || self.answers == 0 {
-            return;
-        }
-        let first = self.rng.random_range(0..all.len());
-        let mut part = Vec::new();
-        for place in all.iter().cycle().skip(first).take(all.len()) {
-            let Some(held) = self.held.get(place) else { continue };
-            let Some(bytes) = encode(now, *place, held) else { continue };
-            if part.len() + bytes.len() > ROOM {
-                out.push(to, Kind::FACTS, &std::mem::take(&mut part));
-                self.answers -= 1;
-                if self.answers == 0 {
-                    return;
-                }
-            }
-            part.extend_from_slice(&bytes);
-        }
-        if !part.is_empty() {
-            self.answers -= 1;
-            out.push(to, Kind::FACTS, &part);
-        }
-    }
-
-    fn owners_from(&self, first: u16) -> impl Iterator<Item = (u16, Owner)> {
-        (first..u16::MAX)
-            .step_by(usize::from(DIGESTS))
-            .map_while(|place| self.owners.get(usize::from(place)).map(|owner| (place, *owner)))
-    }
-
-    /// Up to so many of the living, without this member, in random order.
-    fn choose(&mut self, living: &[MemberId], count: usize) -> Vec<MemberId> {
-        let mut chosen: Vec<MemberId> = Vec::new();
-        let others = living.len().saturating_sub(usize::from(living.contains(&self.me)));
-        while chosen.len() < count.min(others) {
-            let Some(&member) = living.get(self.rng.random_range(0..living.len())) else { break };
-            if member != self.me && !chosen.contains(&member) {
-                chosen.push(member);
-            }
-        }
-        chosen
-    }
-
-    /// A datagram's part of facts whose turn it is.
-    fn part(&mut self, now: Millis, to: MemberId, often_first: bool) -> Vec<u8> {
-        let mut part = Vec::new();
-        let mut told = Vec::new();
-        let queues = match often_first {
-            true => [&self.often, &self.rare],
-            false => [&self.rare, &self.often],
-        };
-        'full: for queue in queues {
-            let mut misfits = 0;
-            for turn in queue {
-                if turn.2.owner == to {
-                    continue;
-                }
-                let Some(bytes) = self.held.get(&turn.2).and_then(|held| encode(now, turn.2, held)) else {
-                    continue;
-                };
-                if part.len() + bytes.len() > ROOM {
-                    misfits += 1;
-                    // A shorter one may still fit; not for long.
-                    if misfits > 4 || ROOM - part.len() < 16 {
-                        continue 'full;
-                    }
-                    continue;
-                }
-                part.extend_from_slice(&bytes);
-                told.push(*turn);
-            }
-        }
-        let most = self.tells();
-        for turn in told {
-            let (told, said, place) = turn;
-            let queue = if frequent(place.kind) { &mut self.often } else { &mut self.rare };
-            queue.remove(&turn);
-            let more = Some(told + 1).filter(|told| *told < most);
-            if let Some(told) = more {
-                queue.insert((told, said, place));
-            }
-            if let Some(held) = self.held.get_mut(&place) {
-                held.told = more;
-            }
-        }
-        part
-    }
-
-    /// Says own rare facts again, as if new; what was taken back is left to expire.
-    fn say_again(&mut self, now: Millis) {
-        let mine: Vec<Place> = self
-            .held
-            .iter()
-            .filter(|(place, held)| {
-                place.owner == self.me
-                    && !frequent(place.kind)
-                    && !momentary(place.kind)
-                    && !held.body.is_empty()
-            })
-            .map(|(place, _)| *place)
-            .collect();
-        for place in mine {
-            self.version = self.version.saturating_add(1);
-            let Some(held) = self.held.get(&place) else { continue };
-            let body = held.body.clone();
-            let (incarnation, version) = (self.incarnation, self.version);
-            self.insert(place, Held { incarnation, version, body, said: signed(now), told: Some(0) });
-        }
-    }
-
     fn insert(&mut self, place: Place, held: Held) {
         self.remove(place);
         if let Some(owner) = self.owners.get_mut(usize::from(place.owner.0)) {
@@ -612,12 +397,6 @@
     }
 }
 
-fn send(to: MemberId, step: &Compare, out: &mut Outbox) {
-    if let Ok(body) = postcard::to_allocvec(step) {
-        out.push(to, Kind::COMPARE, &body);
-    }
-}
-
 fn encode(now: Millis, place: Place, held: &Held) -> Option<Vec<u8>> {
     let age = u32::try_from(age(now, held.said)).unwrap_or(u32::MAX).min(HIGHEST_AGE);
     let fact = Fact { kind: place.kind, key: place.key, body: held.body.clone() };
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,6 +10,7 @@
 //! configured members only, and it never adds a server that no list named.
 
 pub mod api;
+mod config;
 pub mod coordinator;
 pub mod facts;
 pub mod leases;
@@ -18,7 +19,10 @@
 pub mod overload;
 mod peer;
 pub mod rendezvous;
+mod view;
 pub mod wire;
 
 pub use api::{Input, Output};
-pub use peer::{ConfigError, Peer, View};
+pub use config::ConfigError;
+pub use peer::Peer;
+pub use view::View;
--- a/crates/peers/src/peer.rs
+++ b/crates/peers/src/peer.rs
@@ -2,7 +2,6 @@
 //! sent.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::sync::Arc;
 
 use rand::{RngExt, SeedableRng};
@@ -11,11 +10,13 @@
 use crate::api::{
     Config, Fact, FactKind, Guidance, Input, Known, Millis, Output, Reach, ServerKey, Standing,
 };
-use crate::coordinator::{self, Coordinator, Role, Term};
+use crate::config::{ConfigError, check};
+use crate::coordinator::{self, Coordinator};
 use crate::facts::{Facts, News};
 use crate::leases::{Bound, Ledger};
 use crate::membership::Membership;
 use crate::overload::{self, Overload};
+use crate::view::View;
 use crate::wire::{self, HIGHEST_INCARNATION, Head, Kind, Outbox};
 
 /// What this member saw of a server is taken back when it was not seen again for so many leases.
@@ -43,8 +44,8 @@
     reach: Option<Reach>,
     /// The servers that were told last, if any were.
     servers: Option<Vec<Known>>,
-    /// What this member saw of servers, and when last.
-    seen: BTreeMap<ServerKey, (Standing, Millis)>,
+    /// What this member saw of servers.
+    seen: BTreeMap<ServerKey, Seen>,
     /// When the next period begins, when the coordinator wants to be woken, and the wake that was asked for last.
     period: Millis,
     wakes: BTreeSet<Millis>,
@@ -59,50 +60,14 @@
     refused_datagrams: u64,
 }
 
-/// Figures of a member, for its operators.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct View {
-    /// Members that live, this one included.
-    pub living: usize,
-    /// Members that are configured.
-    pub members: usize,
-    /// What this member is in its region.
-    pub role: Role,
-    /// The highest term it knows of.
-    pub term: Term,
-    /// The level of shedding, 0 to 1.
-    pub level: f64,
-    /// Words and renewals of older terms that were refused.
-    pub refused_words: u64,
-    /// Facts that were refused: of nobody configured, too many, absurd.
-    pub refused_facts: u64,
-    /// Facts that are held.
-    pub facts: usize,
-    /// Datagrams that were accepted.
-    pub datagrams_in: u64,
-    /// Datagrams that were sent.
-    pub datagrams_out: u64,
-    /// Bytes that were accepted.
-    pub bytes_in: u64,
-    /// Bytes that were sent.
-    pub bytes_out: u64,
-    /// Datagrams that were dropped, or parts of them: malformed, of another fleet, not from where their sender is
-    /// configured, or of a former self of a member.
-    pub refused_datagrams: u64,
+/// What a member saw of a server, when last, and when it said so last.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    standing: Standing,
+    at: Millis,
+    said: Millis,
 }
 
-/// Why a member cannot start.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ConfigError(pub String);
-
-impl fmt::Display for ConfigError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for ConfigError {}
-
 impl Peer {
     /// A member whose process started now. The incarnation is higher than that of any former process of this member,
     /// such as the Unix time of the start in milliseconds.
@@ -455,10 +420,16 @@
     ) {
         let before = match standing {
             Standing::Serving => self.seen.remove(&server),
-            _ => self.seen.insert(server, (standing, now)),
+            _ => self.seen.get(&server).copied(),
         };
         // Whoever sees the same at each send does not say it at each.
-        if before.map_or(Standing::Serving, |(standing, _)| standing) != standing {
+        let said = before.filter(|seen| {
+            seen.standing == standing && now.saturating_sub(seen.said) < self.config.timing.lease
+        });
+        if standing != Standing::Serving {
+            self.seen.insert(server, Seen { standing, at: now, said: said.map_or(now, |seen| seen.said) });
+        }
+        if said.is_none() && (before.is_some() || standing != Standing::Serving) {
             self.evidence(now, server, Some(standing), outbox, out);
         }
     }
@@ -469,7 +440,7 @@
         let forgotten: Vec<ServerKey> = self
             .seen
             .iter()
-            .filter(|(_, (_, at))| now.saturating_sub(*at) > over)
+            .filter(|(_, seen)| now.saturating_sub(seen.at) > over)
             .map(|(server, _)| *server)
             .collect();
         for server in forgotten {
@@ -549,48 +520,3 @@
     let total = known.cold_requests.clamp(0.0, f64::from(u32::MAX)) as u32;
     Some(Bound { thing: known.server.0, total, window: known.cold_window })
 }
-
-fn check(config: &Config) -> Result<(), ConfigError> {
-    let fault = |text: String| Err(ConfigError(text));
-    let members = &config.members;
-    if members.len() > usize::from(u16::MAX) {
-        return fault(format!("{} members are more than {}", members.len(), u16::MAX));
-    }
-    if usize::from(config.me.0) >= members.len() {
-        return fault(format!("member {} is not among the {} configured", config.me.0, members.len()));
-    }
-    for pair in members.windows(2) {
-        if let [one, other] = pair
-            && one.name >= other.name
-        {
-            return fault(format!("member {} stands before {}: names must rise", one.name, other.name));
-        }
-    }
-    let mut addresses = BTreeMap::new();
-    for member in members {
-        if usize::from(member.region.0) >= config.regions.len() {
-            return fault(format!(
-                "member {} is of region {}, which has no name",
-                member.name, member.region.0
-            ));
-        }
-        if let Some(other) = addresses.insert(member.address, &member.name) {
-            return fault(format!("members {other} and {} have the address {}", member.name, member.address));
-        }
-    }
-    let timing = &config.timing;
-    for (name, time) in [
-        ("period", timing.period),
-        ("suspect", timing.suspect),
-        ("lease", timing.lease),
-        ("election", timing.election),
-    ] {
-        if !(1..=3_600_000).contains(&time) {
-            return fault(format!("timing.{name} of {time} ms is not between 1 and 3,600,000"));
-        }
-    }
-    if !(0.0..=0.5).contains(&timing.drift) {
-        return fault(format!("timing.drift of {} is not between 0 and 0.5", timing.drift));
-    }
-    Ok(())
-}
--- a/crates/peers/tests/fleet/main.rs
+++ b/crates/peers/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod hostile;
 mod play;
+mod together;
 
 use peers::api::{Fact, FactKind, Input, MemberId, Millis, Output, Reach};
 use peers::membership::{Membership, Standing};
--- a/crates/peers/tests/fleet/play.rs
+++ b/crates/peers/tests/fleet/play.rs
@@ -5,7 +5,7 @@
 
 use peers::Peer;
 use peers::api::{
-    Budgets, Config, DATAGRAM_BYTES, Input, Member, MemberId, Millis, Output, RegionId, Timing,
+    Budgets, Config, DATAGRAM_BYTES, Guidance, Input, Member, MemberId, Millis, Output, RegionId, Timing,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -41,7 +41,10 @@
     pub now: Millis,
     pub peers: Vec<Option<Peer>>,
     pub outputs: Vec<Vec<Output>>,
+    /// What members' modules were given, when and whose.
+    pub guidance: Vec<(Millis, Guidance, MemberId)>,
     pub loss: f64,
+    change: fn(&mut Config),
     sent: Vec<Vec<Vec<u8>>>,
     paused: Vec<Millis>,
     cut: Box<dyn Fn(usize, usize) -> bool>,
@@ -52,11 +55,17 @@
 
 impl Fleet {
     pub fn new(count: usize, seed: u64) -> Fleet {
+        Fleet::with(count, seed, |_| {})
+    }
+
+    pub fn with(count: usize, seed: u64, change: fn(&mut Config)) -> Fleet {
         let mut fleet = Fleet {
             now: 1_000,
             peers: (0..count).map(|_| None).collect(),
             outputs: vec![Vec::new(); count],
+            guidance: Vec::new(),
             loss: 0.0,
+            change,
             sent: vec![Vec::new(); count],
             paused: vec![0; count],
             cut: Box::new(|_, _| false),
@@ -73,7 +82,8 @@
     }
 
     pub fn start_as(&mut self, member: usize, incarnation: u64) {
-        let config = config(self.peers.len(), member);
+        let mut config = config(self.peers.len(), member);
+        (self.change)(&mut config);
         let peer =
             Peer::new(config, self.now, incarnation, self.rng.random()).expect("it is well configured");
         self.peers[member] = Some(peer);
@@ -120,7 +130,9 @@
                         }
                     }
                 }
-                Output::Guidance(_) => {}
+                Output::Guidance(guidance) => {
+                    self.guidance.push((self.now, guidance, MemberId(member as u16)));
+                }
                 other => self.outputs[member].push(other),
             }
         }
