--- a/crates/peers/src/overload/level.rs
+++ b/crates/peers/src/overload/level.rs
@@ -23,10 +23,10 @@
 const ENGAGE_AFTER: Millis = 500;
 const FORGET_AFTER: Millis = 2_000;
 
-/// The capacity goes to what is seen of it within so many seconds, from as far as this, as a logarithm. It follows
-/// what was let in and found room and not a sum of misses, so that a level still on its way does not wind it up.
+/// The capacity goes to what is seen of it within so many seconds. It follows what was let in and found room and
+/// not a sum of misses, so that a level still on its way does not wind it up.
 const LEARNT_IN_S: f64 = 1.5;
-const FURTHEST: f64 = 1.5;
+const FURTHER: f64 = 2.0;
 
 /// After so many seconds in which all was let in found room, the capacity grows faster, by this much for each second
 /// more: servers that come back are used soon.
@@ -200,9 +200,12 @@
         let faster = 1.0 + ROOMY_FASTER * (self.roomy_s - ROOMY_AFTER_S).max(0.0);
         // What was let in and found room is what servers can do, where there was less than was let in, and else at least
         // that. Where the level lets in all there is no telling.
-        let seen = (let_in * (1.0 - unmet + TARGET) / capacity).max(1e-3).ln().max(-FURTHEST);
+        let seen = (let_in * (1.0 - unmet + TARGET) / capacity).max(1e-3).ln();
+        // Where less comes in, the last of what found no room must not be taken for servers lost: no further down than
+        // what is missing now would have it, and that again for what is not seen yet.
+        let missing = FURTHER * (1.0 - unmet + TARGET).max(0.1).ln();
         let rate = match unmet > TARGET {
-            true => seen.min(0.0) / LEARNT_IN_S,
+            true => seen.clamp(missing, 0.0) / LEARNT_IN_S,
             false if self.level > 0.0 => (seen.max(0.0) / LEARNT_IN_S * faster).min(FASTEST),
             false => 0.0,
         };
