Hold a checkpoint of 1,024 servers in the ring of service, and tell what is left out

Cause: with 187 servers a checkpoint took 107,503 bytes and a segment holds 98,304, so that it was left out and no dump could be replayed once the start was gone. Change: checkpoints are kept in postcard's bytes (base64); segments grow with them, up to half of the ring, whose size stays. What has no room leaves a line that says so, and the replay counts it. Result: 187 and 1,024 servers, ring of 768 KiB, replayed with no difference.

--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -79,12 +79,19 @@
     let mut warn = std::io::stderr().lock();
     let tally = replay::replay(&call.config, call.operator.as_deref(), &call.captures, &mut out, &mut warn)?;
     out.flush().context("cannot write the differences")?;
-    let Tally { events, differences, skipped, unread } = tally;
+    let Tally { events, differences, skipped, unread, left_out, longest, room } = tally;
     writeln!(
         warn,
         "{events} events replayed, {differences} decisions differ; {skipped} events skipped after gaps, \
          {unread} lines unread"
     )?;
+    if left_out > 0 {
+        writeln!(
+            warn,
+            "the capture left out {left_out} lines for want of room, the longest of {longest} bytes where {room} may \
+             be: a larger ring_kb holds them"
+        )?;
+    }
     if events == 0 {
         bail!("there is no start and no checkpoint to replay from");
     }
--- a/crates/node/src/capture/files.rs
+++ b/crates/node/src/capture/files.rs
@@ -11,8 +11,8 @@
 use crate::log;
 use crate::output::{Output, Share};
 
-/// How much may wait for a slow disk.
-const WAITING_BYTES: usize = 256 << 10;
+/// How much may wait for a slow disk, and so the longest line.
+pub const WAITING_BYTES: usize = 256 << 10;
 /// The names of the files, whose order is that of time: start of the run, and number within it.
 const PREFIX: &str = "capture-";
 const SUFFIX: &str = ".jsonl";
@@ -62,8 +62,9 @@
         self.losing = !took;
     }
 
-    /// A segment begins: in a file of its own if this one might not hold it.
-    pub fn next_segment(&mut self) {
+    /// A segment of this size begins: in a file of its own if this one might not hold it.
+    pub fn next_segment(&mut self, segment_bytes: usize) {
+        self.segment_bytes = segment_bytes;
         self.due |= self.written + self.segment_bytes > self.file_bytes;
     }
 
--- a/crates/node/src/capture/line.rs
+++ b/crates/node/src/capture/line.rs
@@ -2,6 +2,8 @@
 
 use std::borrow::Cow;
 
+use base64::display::Base64Display;
+use base64::engine::{Engine, general_purpose::STANDARD};
 use sagemast::Balancer;
 use sagemast::api::*;
 use serde::{Deserialize, Serialize};
@@ -59,6 +61,15 @@
         /// The module without its settings.
         module: Module<'a>,
     },
+    /// A line of that number which had no room: it would be larger than a segment may be.
+    LeftOut {
+        /// Whether it was a checkpoint, which a replay that comes from the lines before can do without.
+        checkpoint: bool,
+        /// Its size.
+        bytes: usize,
+        /// The most that a line may have.
+        most: usize,
+    },
     /// What the module was told.
     Told {
         /// When, on its own clock.
@@ -76,18 +87,24 @@
     Read(Box<Balancer>),
 }
 
+/// In postcard's bytes, as base64: a fifth of what names and digits take, and every float to the bit. No one reads it by
+/// eye.
 impl Serialize for Module<'_> {
     fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
-        match self {
-            Module::Live(module) => module.serialize(to),
-            Module::Read(module) => module.serialize(to),
-        }
+        let bytes = match self {
+            Module::Live(module) => postcard::to_stdvec(module),
+            Module::Read(module) => postcard::to_stdvec(module),
+        };
+        to.collect_str(&Base64Display::new(&bytes.map_err(serde::ser::Error::custom)?, &STANDARD))
     }
 }
 
 impl<'de> Deserialize<'de> for Module<'_> {
     fn deserialize<D: serde::Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        Balancer::deserialize(from).map(|module| Module::Read(Box::new(module)))
+        let text = String::deserialize(from)?;
+        let bytes = STANDARD.decode(text).map_err(serde::de::Error::custom)?;
+        let module = postcard::from_bytes(&bytes).map_err(serde::de::Error::custom)?;
+        Ok(Module::Read(Box::new(module)))
     }
 }
 
--- a/crates/node/src/capture/mod.rs
+++ b/crates/node/src/capture/mod.rs
@@ -1,9 +1,11 @@
 //! The capture: what the module was told and what it decided, a JSON line an event. The lines are kept in a ring in
 //! memory and, where the operators name a folder, in files. `harelock replay` feeds them to the module again.
 //!
-//! The ring is a row of segments of one size. When the last is full the oldest makes room. A checkpoint of the
-//! module stands behind the first line of each segment but the very first, which begins with the module's start: so
-//! a replay can begin in every segment, whatever was dropped before it. Files hold whole segments.
+//! The ring is a row of segments. When the last is full the oldest makes room. A checkpoint of the module stands behind
+//! the first line of each segment but the very first, which begins with the module's start: so a replay can begin in
+//! every segment, whatever was dropped before it. A checkpoint grows with the servers, and segments with it: from an
+//! eighth of the ring to a half, so that there is room behind it for what happened next, and the ring stays as large as
+//! it was. What is too large even then is left out, and a line in its place says so. Files hold whole segments.
 
 mod files;
 pub mod line;
@@ -22,11 +24,13 @@
 use crate::log;
 use crate::operator::Capture as Settings;
 use crate::output::Share;
-use files::Files;
+use files::{Files, WAITING_BYTES};
 use line::{Line, Named, What, decision};
 
-/// The ring has this many segments, or fewer where they would be too small for a checkpoint.
+/// The ring begins with this many segments, or fewer where they would be too small for a checkpoint.
 const SEGMENTS: usize = 8;
+/// A segment is as large as so many of its longest line, as far as the ring allows.
+const LINES_A_SEGMENT: usize = 2;
 /// Segments are no smaller than this.
 const LEAST_SEGMENT_BYTES: usize = 8 << 10;
 /// How much of a dump may wait for whoever reads standard error.
@@ -61,12 +65,19 @@
     epoch_unix_ms: f64,
     /// The number of the next line.
     next: u64,
-    /// The full segments, oldest first.
-    full: VecDeque<Bytes>,
+    /// The full segments, oldest first, and how much memory each has.
+    full: VecDeque<(Bytes, usize)>,
     current: BytesMut,
     /// Memory for segments to come. All of it is taken at the start: what grows later would look like a leak.
     spare: Vec<BytesMut>,
+    /// All segments together have no more.
+    ring_bytes: usize,
+    /// The size of the current segment, and of those to come.
     segment_bytes: usize,
+    /// Segments grow no further.
+    most_bytes: usize,
+    /// Longer lines are left out.
+    line_bytes: usize,
     scratch: Vec<u8>,
     files: Option<Files>,
     /// How much of the current segment the files have.
@@ -88,16 +99,11 @@
     ) -> Result<Capture> {
         let ring = settings.ring_kb << 10;
         let segments = (ring / LEAST_SEGMENT_BYTES).clamp(2, SEGMENTS);
-        let segment_bytes = match settings.folder {
-            Some(_) => (ring / segments).min(settings.file_kb << 10),
-            None => ring / segments,
-        };
-        let segment = || {
-            let mut memory = BytesMut::new();
-            memory.resize(segment_bytes, b'\n');
-            memory.clear();
-            memory
+        let (most_bytes, line_bytes) = match settings.folder {
+            Some(_) => ((ring / 2).min(settings.file_kb << 10), WAITING_BYTES),
+            None => (ring / 2, usize::MAX),
         };
+        let segment_bytes = (ring / segments).min(most_bytes);
         let files = settings.folder.as_ref().map(|folder| {
             Files::start(folder, settings.files, settings.file_kb << 10, segment_bytes, epoch_unix_ms)
         });
@@ -107,9 +113,13 @@
             // Microseconds: no run has more lines, so that no two runs share a number.
             next: (epoch_unix_ms * 1e3) as u64,
             full: VecDeque::new(),
-            current: segment(),
-            spare: (0..ring / segment_bytes.max(1)).skip(1).map(|_| segment()).collect(),
+            current: memory(segment_bytes),
+            spare: (0..ring / segment_bytes.max(1)).skip(1).map(|_| memory(segment_bytes)).collect(),
+            ring_bytes: ring,
             segment_bytes,
+            most_bytes,
+            // Behind the longest there is still room for what happened next.
+            line_bytes: line_bytes.min(most_bytes / 4 * 3),
             scratch: Vec::new(),
             files: files.transpose()?,
             saved: 0,
@@ -119,8 +129,8 @@
         };
         let what = What::Start { seed, classes: Cow::Owned(capture.classes.clone()) };
         capture.write(0.0, what, Vec::new(), About::default(), None);
-        if !capture.fits() {
-            capture.too_long();
+        if capture.grow() || !capture.fits() {
+            capture.leave_out(0.0, false);
         }
         capture.keep();
         Ok(capture)
@@ -148,14 +158,17 @@
         if self.fits() {
             return self.keep();
         }
+        if self.scratch.len() > self.line_bytes {
+            self.leave_out(at, false);
+        } else if !self.grow() && self.fits() {
+            return self.keep();
+        }
         // The line stands before the checkpoint, which holds what came of it: a replay that comes from the segment
         // before needs it, and one that begins here passes it over.
-        self.roll();
-        if self.fits() {
-            self.keep();
-        } else {
-            self.too_long();
+        if !self.current.is_empty() {
+            self.roll();
         }
+        self.keep();
         self.checkpoint(module, at, all);
     }
 
@@ -178,11 +191,15 @@
         let classes = Cow::Owned(self.classes.clone());
         let what = What::Checkpoint { classes, module: line::Module::Live(module) };
         self.write(at, what, Vec::new(), About { hosts: all(), ..About::default() }, None);
-        if self.fits() {
-            self.keep();
-        } else {
-            self.too_long();
+        if self.scratch.len() > self.line_bytes {
+            self.leave_out(at, true);
         }
+        self.grow();
+        // Behind a long line there may be no room for it. Its segment then follows on that of the line.
+        if !self.fits() {
+            self.roll();
+        }
+        self.keep();
     }
 
     /// Writes a line to the scratch buffer.
@@ -225,32 +242,64 @@
         }
     }
 
-    /// A line or a checkpoint is larger than a segment: it is left out, and the gap in the numbers shows it.
-    fn too_long(&mut self) {
+    /// The line at hand is longer than a line may be: a short one stands in its place.
+    fn leave_out(&mut self, at: Millis, checkpoint: bool) {
+        let (bytes, most) = (self.scratch.len(), self.line_bytes);
         if !std::mem::replace(&mut self.told_too_long, true) {
-            let (bytes, most) = (self.scratch.len(), self.segment_bytes);
-            log::rare(format!("capture: a line of {bytes} bytes is left out; a segment holds {most}"));
+            let what = if checkpoint { "checkpoint" } else { "line" };
+            log::rare(format!("capture: a {what} of {bytes} bytes is left out; there is room for {most}"));
         }
-        self.scratch.clear();
+        self.next -= 1;
+        let what = What::LeftOut { checkpoint, bytes, most };
+        self.write(at, what, Vec::new(), About::default(), None);
         self.scratch.shrink_to(self.segment_bytes);
     }
 
+    /// Makes the segments larger if the line at hand takes too much of one, the ring staying as large as it is. Tells
+    /// whether a new segment had to begin: files may have a part of the current one.
+    fn grow(&mut self) -> bool {
+        let wanted = self.scratch.len().saturating_mul(LINES_A_SEGMENT);
+        if wanted <= self.segment_bytes || self.segment_bytes >= self.most_bytes {
+            return false;
+        }
+        let rolled = self.saved > 0;
+        if rolled {
+            self.roll();
+        }
+        while self.segment_bytes < wanted && self.segment_bytes < self.most_bytes {
+            self.segment_bytes = (2 * self.segment_bytes).min(self.most_bytes);
+        }
+        self.spare.clear();
+        while self.held() + self.segment_bytes > self.ring_bytes && self.full.pop_front().is_some() {}
+        let lines = std::mem::replace(&mut self.current, memory(self.segment_bytes));
+        self.current.extend_from_slice(&lines);
+        if let Some(files) = &mut self.files {
+            files.next_segment(self.segment_bytes);
+        }
+        rolled
+    }
+
+    /// The memory of the full segments.
+    fn held(&self) -> usize {
+        self.full.iter().map(|(_, bytes)| bytes).sum()
+    }
+
     /// Begins a new segment in the place of the oldest.
     fn roll(&mut self) {
         self.save();
+        let size = self.segment_bytes;
         let mut next = self.spare.pop();
-        while next.is_none() {
-            let Some(oldest) = self.full.pop_front() else { break };
+        while next.is_none() && self.held() + 2 * size > self.ring_bytes {
+            let Some((oldest, bytes)) = self.full.pop_front() else { break };
             // One that is being dumped is left to the dump.
-            next =
-                Some(oldest.try_into_mut().unwrap_or_else(|_| BytesMut::with_capacity(self.segment_bytes)));
+            next = oldest.try_into_mut().ok().filter(|_| bytes == size);
         }
-        let mut next = next.unwrap_or_else(|| BytesMut::with_capacity(self.segment_bytes));
+        let mut next = next.unwrap_or_else(|| memory(size));
         next.clear();
-        self.full.push_back(std::mem::replace(&mut self.current, next).freeze());
+        self.full.push_back((std::mem::replace(&mut self.current, next).freeze(), size));
         self.saved = 0;
         if let Some(files) = &mut self.files {
-            files.next_segment();
+            files.next_segment(size);
         }
     }
 
@@ -266,7 +315,7 @@
     /// Everything in the ring, oldest first. Full segments are shared, not copied.
     fn snapshot(&self) -> Vec<Bytes> {
         let current = Bytes::copy_from_slice(&self.current);
-        self.full.iter().cloned().chain([current]).collect()
+        self.full.iter().map(|(lines, _)| lines.clone()).chain([current]).collect()
     }
 
     /// Writes the ring to standard error, as fast as that is read and beside all else.
@@ -294,6 +343,13 @@
     }
 }
 
+/// Memory for a segment, all of it taken.
+fn memory(bytes: usize) -> BytesMut {
+    let mut memory = BytesMut::zeroed(bytes);
+    memory.clear();
+    memory
+}
+
 /// Cuts a segment into pieces of whole lines, so that other lines may come between them.
 fn pieces(mut segment: Bytes) -> impl Iterator<Item = Bytes> {
     std::iter::from_fn(move || {
@@ -336,6 +392,7 @@
     pub struct Stage {
         pub capture: Capture,
         module: Balancer,
+        names: Vec<String>,
         dice: oorandom::Rand64,
         now: Millis,
         out: Vec<(RequestId, AttemptNo, UpstreamId)>,
@@ -348,19 +405,40 @@
     }
 
     fn all() -> Vec<Named<'static>> {
-        let named = |id| {
-            Some(Named { upstream: UpstreamId(id), host: name(UpstreamId(id))?.into(), dial: "-".into() })
+        let name = |id| name(UpstreamId(id)).map(str::to_owned);
+        named(&(0..4).filter_map(name).collect::<Vec<_>>())
+    }
+
+    fn named(names: &[String]) -> Vec<Named<'static>> {
+        let named = |(id, name): (usize, &String)| Named {
+            upstream: UpstreamId(id as u64),
+            host: name.clone().into(),
+            dial: format!("10.0.0.{id}:8080").into(),
         };
-        (0..4).filter_map(named).collect()
+        names.iter().enumerate().map(named).collect()
     }
 
     impl Stage {
         pub fn new(settings: &Settings, epoch_unix_ms: f64) -> Stage {
+            Stage::of(settings, epoch_unix_ms, ["a", "b", "c", "d"].map(str::to_owned).to_vec())
+        }
+
+        /// The same with so many servers.
+        pub fn at_size(settings: &Settings, servers: u64) -> Stage {
+            Stage::of(
+                settings,
+                0.0,
+                (0..servers).map(|id| format!("s-{:08x}", id * 0x9e37_79b1 % (1 << 32))).collect(),
+            )
+        }
+
+        fn of(settings: &Settings, epoch_unix_ms: f64, names: Vec<String>) -> Stage {
             let capture = Capture::start(settings, classes(), 7, epoch_unix_ms).expect("it starts");
             let (module, dice) = (Balancer::new(self::settings(), 7), oorandom::Rand64::new(11));
             let mut stage = Stage {
                 capture,
                 module,
+                names,
                 dice,
                 now: 0.0,
                 out: Vec::new(),
@@ -376,7 +454,9 @@
                 weight: 1.0,
                 started: (id == 3).then_some(-1_234.567),
             };
-            stage.event(Event::Listed(ListNews::Restored((0..4).map(listing).collect())), all());
+            let hosts = named(&stage.names);
+            let list = (0..hosts.len() as u64).map(listing).collect();
+            stage.event(Event::Listed(ListNews::Restored(list)), hosts);
             stage
         }
 
@@ -387,7 +467,9 @@
             let id = request.map(|request| format!("id-{}", request.0));
             let about =
                 About { id: id.as_deref(), class: id.as_ref().map(|_| "fetch"), hosts, ..About::default() };
-            self.capture.record(&self.module, (self.now, event), &did, about, name, all);
+            let names = &self.names;
+            let name = |id: UpstreamId| names.get(id.0 as usize).map(String::as_str);
+            self.capture.record(&self.module, (self.now, event), &did, about, name, || named(names));
             for action in did {
                 match action {
                     Action::Send { request, upstream, .. } => {
@@ -510,6 +592,69 @@
         assert!(tally.differences == 0 && tally.skipped == 0 && tally.events > 40, "{tally:?}");
     }
 
+    /// The full sizes that the platform has, with the ring of service.
+    #[test]
+    fn at_size_a_checkpoint_has_room_and_the_dump_is_replayed() {
+        let service = Settings::default();
+        for (servers, requests) in [(187, 400), (187, 4_000), (1_024, 400), (1_024, 6_000)] {
+            let mut stage = Stage::at_size(&service, servers);
+            stage.run(requests);
+            let text = stage.text();
+            let ring = service.ring_kb << 10;
+            assert!(text.len() <= ring && stage.capture.held() + stage.capture.segment_bytes <= ring);
+            assert!(text.contains("\"checkpoint\":") || requests == 400, "{servers} servers");
+            assert!(!text.contains("\"left_out\""), "{servers} servers, {requests} requests");
+            let (tally, lines) = crate::replay::tests::of(&[&text], settings());
+            assert_eq!((tally.differences, tally.unread, tally.left_out), (0, 0, 0), "{lines:?}");
+            let told = text.matches("\"told\":").count() as u64;
+            assert_eq!(tally.events + tally.skipped, told);
+            assert!(tally.skipped <= 1 && tally.events > 500, "{servers} servers: {tally:?}");
+        }
+    }
+
+    /// Files are held to their own size and to what may wait for the disk.
+    #[test]
+    fn at_size_files_are_replayed_too() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let on_disk = Settings { folder: Some(folder.path().to_owned()), files: 3, ..Settings::default() };
+        Stage::at_size(&on_disk, 187).run_to_disk(6_000);
+        let mut paths: Vec<_> = std::fs::read_dir(&folder)
+            .expect("the folder")
+            .map(|entry| entry.expect("an entry").path())
+            .collect();
+        paths.sort();
+        let texts: Vec<String> =
+            paths.iter().map(|path| std::fs::read_to_string(path).expect("text")).collect();
+        assert!(texts.len() > 1 && texts.iter().all(|text| text.len() <= 1_024 << 10));
+        let all: Vec<&str> = texts.iter().map(String::as_str).collect();
+        let (tally, lines) = crate::replay::tests::of(&all, settings());
+        assert_eq!((tally.differences, tally.unread, tally.left_out), (0, 0, 0), "{lines:?}");
+        assert!(tally.events > 2_000 && tally.skipped <= 1, "{tally:?}");
+    }
+
+    /// Where a checkpoint cannot fit the dump says so, and so does its replay. From the start it can still be replayed.
+    #[test]
+    fn what_cannot_fit_is_told_in_its_place() {
+        // The list has room in it, the module has not.
+        let ring = Settings { ring_kb: 104, ..Settings::default() };
+        let mut stage = Stage::at_size(&ring, 187);
+        while !stage.text().contains("\"left_out\"") {
+            stage.run(1);
+        }
+        stage.run(5);
+        let young = stage.text();
+        assert!(young.contains("\"start\""), "the start is still there");
+        stage.run(3_000);
+        for (text, any) in [(young, true), (stage.text(), false)] {
+            let tally = crate::replay::tests::of(&[&text], settings()).0;
+            assert_eq!((tally.differences, tally.unread, tally.events > 0), (0, 0, any), "{tally:?}");
+            let left_out =
+                text.lines().filter(|line| line.contains("\"left_out\":{\"checkpoint\":true")).count();
+            assert_eq!(tally.left_out, left_out as u64);
+            assert!(tally.left_out > 0 && tally.longest > tally.room && tally.room == 39 << 10, "{tally:?}");
+        }
+    }
+
     #[test]
     fn a_dump_is_whole_lines_in_pieces() {
         let text: String = (0..9_000).map(|n| format!("{{\"n\":{n}}}\n")).collect();
--- a/crates/node/src/output.rs
+++ b/crates/node/src/output.rs
@@ -2,11 +2,12 @@
 //! full pipe or a slow disk must not hold it up. What is handed over and not yet written is bounded in bytes.
 
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Sender, channel};
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// The writer needs little: the default would be 2 MiB.
@@ -20,15 +21,16 @@
     Flush(Sender<()>),
 }
 
-/// A writing thread. It ends when this and all its shares are dropped.
+/// A writing thread. It ends when this and all its shares are dropped. Its channel is tokio's, since a receiver of the
+/// standard library's spins without end while a sender is stopped in the middle of a send.
 pub struct Output {
-    jobs: Sender<Job>,
+    jobs: UnboundedSender<Job>,
 }
 
 /// The right to have so many bytes wait for the thread. One source that writes much takes nothing from others.
 #[derive(Clone)]
 pub struct Share {
-    jobs: Sender<Job>,
+    jobs: UnboundedSender<Job>,
     budget: Arc<Semaphore>,
     bytes: usize,
 }
@@ -36,11 +38,11 @@
 impl Output {
     /// Starts a thread that writes by this function.
     pub fn start(name: &str, write: impl FnMut(&[u8]) + Send + 'static) -> Result<Output> {
-        let (jobs, inbox) = channel();
+        let (jobs, inbox) = unbounded_channel();
         std::thread::Builder::new()
             .name(name.to_owned())
             .stack_size(STACK_BYTES)
-            .spawn(move || run(&inbox, write))
+            .spawn(move || run(inbox, write))
             .with_context(|| format!("cannot start the thread for {name}"))?;
         Ok(Output { jobs })
     }
@@ -57,8 +59,8 @@
     }
 }
 
-fn run(inbox: &Receiver<Job>, mut write: impl FnMut(&[u8])) {
-    for job in inbox {
+fn run(mut inbox: UnboundedReceiver<Job>, mut write: impl FnMut(&[u8])) {
+    while let Some(job) = inbox.blocking_recv() {
         match job {
             Job::Write(bytes, permit) => {
                 write(&bytes);
--- a/crates/node/src/replay.rs
+++ b/crates/node/src/replay.rs
@@ -26,6 +26,12 @@
     pub skipped: u64,
     /// Lines that cannot be read.
     pub unread: u64,
+    /// Lines that had no room in the capture.
+    pub left_out: u64,
+    /// The longest of them, in bytes.
+    pub longest: usize,
+    /// What there was room for then.
+    pub room: usize,
 }
 
 /// Replays captures, in the order given, under a platform's configuration and the routes of an operators' file.
@@ -127,7 +133,7 @@
                 self.ids.clear();
                 self.hosts.clear();
             }
-            What::Checkpoint { .. } | What::Told { .. } if seen => return Ok(()),
+            What::Checkpoint { .. } | What::Told { .. } | What::LeftOut { .. } if seen => return Ok(()),
             // What changed settings have led to goes on.
             What::Checkpoint { .. } if follows => {}
             What::Checkpoint { module, .. } => {
@@ -136,6 +142,14 @@
                 self.module = Some(resumed.context("a checkpoint does not fit the configuration")?);
                 self.start = None;
             }
+            What::LeftOut { checkpoint, bytes, most } => {
+                self.tally.left_out += 1;
+                if bytes > self.tally.longest {
+                    (self.tally.longest, self.tally.room) = (bytes, most);
+                }
+                // Without a checkpoint a replay that comes from the lines before goes on, and no other begins.
+                self.module = self.module.take().filter(|_| checkpoint && follows);
+            }
             What::Told { at, event } => {
                 for named in &line.hosts {
                     self.hosts.insert(named.upstream, named.host.clone().into_owned());
