--- a/crates/concert/src/api.rs
+++ b/crates/concert/src/api.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use peers::api::{Asking, Because, Entry, Reach};
+use residency::Rules;
 use sagemast::api::{ClassId, Event, Millis, Settings, UpstreamId};
 
 /// A class of the module by its names: routes make further ones of the platform's.
@@ -24,6 +25,8 @@
     pub peers: Option<peers::api::Config>,
     /// When this process started, in Unix milliseconds: higher than that of all processes before it.
     pub incarnation: u64,
+    /// Where requests may go, if the operators' file says so.
+    pub residency: Option<Rules>,
     /// For all that is drawn at random.
     pub seed: u64,
     /// The module's settings.
@@ -75,6 +78,8 @@
     },
     /// Entries that came by [`Output::Entry`] have these ids.
     Applied(Vec<(UpstreamId, Entry)>),
+    /// The operators' file was read again: its rules of residency, if it has any.
+    Reread(Option<Rules>),
     /// The module's classes from now on. To be handed over, and what comes of it to the module, before the module
     /// gets requests of new ones.
     Classes(Vec<ClassNames>),
@@ -112,7 +117,7 @@
 pub struct View {
     /// Of the member, where there is one.
     pub peers: Option<peers::View>,
-    /// The generation of the rules of residency that it holds.
+    /// The generation of the rules of residency that it holds, if it holds any.
     pub generation: Option<u64>,
     /// The generation that it waits for, if it does.
     pub awaited: Option<u64>,
--- a/crates/residency/src/keeper.rs
+++ b/crates/residency/src/keeper.rs
@@ -111,10 +111,11 @@
     }
 
     /// A process with peers: member `me`, in a life that has a higher number than those before it. It listens first:
-    /// what its rules are for may not be sent until another has told what it holds, or [`Keeper::listening`] gives up.
+    /// what its rules are for may not be sent until another has told what it holds, or [`Keeper::listening`] gives up. One
+    /// without rules ([`Rules::none`]) has nothing to tell until it has heard of some.
     pub fn among(rules: &Rules, me: u16, life: u64, now: u64) -> Keeper {
         let mut keeper = Keeper::new(rules, now);
-        (keeper.me, keeper.listens) = (Some((me, life)), Some(now));
+        (keeper.me, keeper.listens) = (Some((me, life)), (rules.generation() > 0).then_some(now));
         keeper.bind();
         keeper
     }
@@ -236,6 +237,9 @@
 
     /// All that this member has to tell: key and body, [`crate::BODY_BYTES`] at most each.
     pub fn facts(&self) -> Vec<(u64, Vec<u8>)> {
+        if self.generation == 0 {
+            return Vec::new();
+        }
         let mut facts = vec![(HEAD, head_body(&self.own_head()))];
         if self.is_teller() {
             facts.extend((HEAD + 1..).zip(piece_bodies(self.digest, &self.written)));
--- a/crates/residency/src/rules.rs
+++ b/crates/residency/src/rules.rs
@@ -41,6 +41,12 @@
 }
 
 impl Rules {
+    /// Those of a file that has no section: generation 0, below all that a file can have, and nothing is ruled.
+    pub fn none() -> Rules {
+        let (regions, rules, outside) = Default::default();
+        Rules { generation: 0, regions, rules, outside }
+    }
+
     /// Reads and checks a section. All that is wrong comes at once, a line each with its place.
     pub fn read(section: &Section, context: &Context) -> Result<Rules, Vec<String>> {
         Rules::check(section, context).map_err(|faults| faults.iter().map(Fault::to_string).collect())
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -105,7 +105,7 @@
 /// First and longest time for which a server that turned a request away is left alone.
 const SHUT_FOR: [Millis; 2] = [100.0, 1_600.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
-const COLD_MARGIN: f64 = 0.5;
+pub const COLD_MARGIN: f64 = 0.5;
 /// How often a client tries a request that is refused again and again: once, and up to three times more.
 const TRIES: f64 = 4.0;
 
@@ -394,7 +394,7 @@
 
     /// κ: how many requests a server works on at once. Its listed weight says how it compares with others
     /// of its kind, and what reports below saturation say of the kind as a whole how large that is.
-    fn kappa(&self, upstream: &Upstream) -> f64 {
+    pub(crate) fn kappa(&self, upstream: &Upstream) -> f64 {
         let kind = self.seen.kinds.get(&upstream.kind).unwrap_or(&self.seen.fleet);
         (upstream.weight * kind.kappa()).max(0.1)
     }
--- a/crates/sagemast/src/fleet.rs
+++ b/crates/sagemast/src/fleet.rs
@@ -56,8 +56,8 @@
         self.servers.get_mut(&id)
     }
 
-    pub fn all(&self) -> impl Iterator<Item = &Upstream> {
-        self.servers.values()
+    pub fn each(&self) -> impl Iterator<Item = (UpstreamId, &Upstream)> {
+        self.servers.iter().map(|(id, server)| (*id, server))
     }
 
     /// The servers of a ring, or of our whole subset.
--- a/crates/sagemast/src/lib.rs
+++ b/crates/sagemast/src/lib.rs
@@ -11,5 +11,6 @@
 mod reroute;
 pub mod settings;
 mod state;
+pub mod view;
 
 pub use brain::Balancer;
--- a/crates/sagemast/src/reroute.rs
+++ b/crates/sagemast/src/reroute.rs
@@ -14,7 +14,7 @@
     /// Whether a class has requests or sends under way: until they are over they go by what it sets.
     pub fn uses(&self, class: ClassId) -> bool {
         self.requests.values().any(|held| held.class == class)
-            || self.fleet.all().any(|server| server.outstanding.iter().any(|out| out.class == class))
+            || self.fleet.each().any(|(_, server)| server.outstanding.iter().any(|out| out.class == class))
     }
 
     /// Puts a class in the place of one that is not in use, or behind all others. It begins with what is known of
