--- a/crates/concert/src/company.rs
+++ b/crates/concert/src/company.rs
@@ -289,3 +289,6 @@
         self.pending.extend(self.rings.news(keeper.binding()).map(Event::Within).map(Output::Event));
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -285,9 +285,9 @@
         }
     }
 
-    /// Whether a server that was drawn may be sent one more: a cold one by what the fleet leased of it, else by
-    /// chance. An equal part of its budget is less than one request for each of many sidecars: a server is drawn
-    /// for at most two of `n` requests, and chance leaves it of those what its budget allows, for all together.
+    /// Whether a server that was drawn may be sent one more: a cold one by what the fleet leased of it, else
+    /// by chance. An equal part of its budget is less than one request for each of many sidecars: a server is
+    /// drawn for at most two of `n` requests, and chance leaves it of those what its budget allows, for all.
     fn admits(&mut self, to: Candidate) -> bool {
         match self.guided.leased(&to, self.now) {
             None if to.pool == Pool::Cold => {}
--- a/crates/sagemast/tests/any_order.rs
+++ b/crates/sagemast/tests/any_order.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
 use oorandom::Rand64;
@@ -20,6 +20,7 @@
 
 struct Seen {
     class: usize,
+    tenant: TenantId,
     deadline: Millis,
     tries: Vec<Try>,
     ended: bool,
@@ -35,6 +36,9 @@
     probes: Vec<UpstreamId>,
     /// Timers that have not come due.
     wakes: Vec<(Millis, u64)>,
+    /// Whether a fleet tells something as well, and where requests may go by it.
+    told: bool,
+    within: Option<Residency>,
 }
 
 impl World {
@@ -49,6 +53,9 @@
                     let seen = self.requests.get_mut(request).expect("a known request");
                     assert!(!seen.ended, "sent after its end");
                     assert!(self.serving[upstream], "sent to a server that has left");
+                    let (class, zone) = (ClassId(seen.class), ZoneId(upstream.0 / 20));
+                    let within = self.within.as_ref();
+                    assert!(within.is_none_or(|w| w.allows(class, seen.tenant, zone)), "outside its rings");
                     assert!((seen.tries.len() as u32) < self.settings.limits.max_attempts);
                     let policy = &self.settings.classes[seen.class].policy;
                     let copies = self.settings.limits.duplicates && policy.second_copy.is_some();
@@ -81,9 +88,10 @@
                     let (upstream, sent) = (*upstream, self.now);
                     seen.tries.push(Try { upstream, sent, timeout, outcome: None });
                 }
-                Action::Refuse { request, .. } => {
+                Action::Refuse { request, reason, .. } => {
                     let seen = self.requests.get_mut(request).expect("a known request");
                     assert!(!std::mem::replace(&mut seen.ended, true), "answered twice");
+                    assert!(*reason != Reason::Shed || seen.tries.is_empty(), "shed after a send");
                     let ran = seen.tries.iter().any(|t| t.outcome.is_none_or(Outcome::may_have_run));
                     match self.settings.classes[seen.class].effect {
                         Effect::Repeatable | Effect::ByKey { scope: Scope::All, .. } => {}
@@ -122,9 +130,54 @@
         (self.pick(5) > 0).then_some(report)
     }
 
+    /// What a fleet may tell, sound or not.
+    fn telling(&mut self) -> Event {
+        let ids = |world: &mut World| -> BTreeSet<UpstreamId> {
+            (0..world.pick(9)).map(|_| UpstreamId(world.pick(40) as u64)).collect()
+        };
+        match self.pick(4) {
+            0 => {
+                let rings: Vec<_> = (0..self.pick(4))
+                    .map(|_| (0..self.pick(3)).map(|_| ZoneId(self.pick(3) as u64)).collect())
+                    .collect();
+                let ring = |world: &mut World| (world.pick(2) == 0).then(|| world.pick(4));
+                let classes = (0..3 + self.pick(3)).map(|_| ring(self)).collect();
+                let residency = Residency { rings, classes, tenants: vec![None, ring(self)] };
+                self.within = Some(residency.clone());
+                Event::Within(residency)
+            }
+            1 => {
+                let (upstream, well) = (UpstreamId(self.pick(40) as u64), self.pick(2) == 0);
+                Event::Tried { upstream, well }
+            }
+            2 => {
+                let age = [0.0, -5.0, 40.0, 3_000.0, f64::NAN][self.pick(5)];
+                let report = self.report().unwrap_or_default();
+                Event::Reported { upstream: UpstreamId(self.pick(40) as u64), report, age }
+            }
+            _ => {
+                let allowance = Allowance { share: [0.0, 0.2, f64::NAN][self.pick(3)], burst: 2 };
+                let lease = ColdLease { requests: 1, until: self.now + 50.0 };
+                let cold = ids(self);
+                Event::Guided(Box::new(Guidance {
+                    admit: vec![0.5, 1.0, f64::NAN],
+                    retries: (self.pick(2) == 0).then_some(allowance),
+                    copies: (self.pick(2) == 0).then_some(allowance),
+                    probes: (self.pick(2) == 0).then(|| ids(self)),
+                    trials: (self.pick(2) == 0).then(|| ids(self)),
+                    cold: (self.pick(2) == 0).then(|| cold.into_iter().map(|id| (id, lease)).collect()),
+                    come_back: [None, Some([0.2, 0.4]), Some([f64::NAN, 9.0])][self.pick(3)],
+                }))
+            }
+        }
+    }
+
     /// The next event: something due, or something at random.
     fn event(&mut self, number: u64) -> Event {
         let now = self.now;
+        if self.told && self.pick(12) == 0 {
+            return self.telling();
+        }
         let due = self.requests.iter().find_map(|(id, seen)| {
             let at = seen.tries.iter().position(|t| t.outcome.is_none() && t.sent + t.timeout <= now)?;
             Some((*id, at))
@@ -147,15 +200,11 @@
                 let class = self.pick(5);
                 let time_left = [0.0, 3.0, 90.0, 300.0, 800.0][self.pick(5)];
                 let request = RequestId(number);
-                let seen = Seen { class, deadline: now + time_left, tries: Vec::new(), ended: false };
-                self.requests.insert(request, seen);
-                Event::Arrived {
-                    request,
-                    class: ClassId(class),
-                    tenant: TenantId(self.pick(3)),
-                    time_left,
-                    repeat: false,
-                }
+                let tenant = TenantId(self.pick(3));
+                let deadline = now + time_left;
+                self.requests
+                    .insert(request, Seen { class, tenant, deadline, tries: Vec::new(), ended: false });
+                Event::Arrived { request, class: ClassId(class), tenant, time_left, repeat: false }
             }
             4..=6 if !out.is_empty() => {
                 let (request, at) = out[self.pick(out.len())];
@@ -267,7 +316,20 @@
 #[test]
 fn rules_hold_for_any_order_of_events() {
     for seed in 0..60 {
-        play(seed, settings());
+        play(seed, settings(), false);
+    }
+}
+
+/// Guards against a path past what a fleet told: first sends, retries, copies, keyed repeats, and where all are ejected.
+#[test]
+fn rules_and_rings_hold_whatever_a_fleet_tells() {
+    for seed in 0..120_u64 {
+        let mut settings = settings();
+        settings.limits.duplicates = seed.is_multiple_of(2);
+        for (number, class) in settings.classes.iter_mut().enumerate() {
+            class.policy = policies()[(seed as usize + number) % policies().len()].clone();
+        }
+        play(seed, settings, true);
     }
 }
 
@@ -279,11 +341,11 @@
         for (number, class) in settings.classes.iter_mut().enumerate() {
             class.policy = policies()[(seed as usize + number) % policies().len()].clone();
         }
-        play(seed, settings);
+        play(seed, settings, false);
     }
 }
 
-fn play(seed: u64, mut settings: Settings) {
+fn play(seed: u64, mut settings: Settings, told: bool) {
     settings.limits.probes = !seed.is_multiple_of(3);
     settings.crossing_fee = [0.0, 0.02, 0.2][seed as usize % 3];
     settings.probe_fee = [0.0, 0.0094, 0.08][seed as usize % 3];
@@ -297,6 +359,8 @@
         serving: BTreeMap::new(),
         probes: Vec::new(),
         wakes: Vec::new(),
+        told,
+        within: None,
     };
     // The first ids are not used: their timers would be those of the list.
     for number in 2..1_500 {
--- a/crates/sagemast/tests/checkpoint.rs
+++ b/crates/sagemast/tests/checkpoint.rs
@@ -71,3 +71,35 @@
     let absurd = text.replace("\"class\":4", "\"class\":99");
     assert!(read(&absurd).resume(settings()).is_none(), "no module could look that class up");
 }
+
+#[test]
+fn a_capture_holds_what_a_fleet_told_and_looks_as_before_without_it() {
+    let (upstream, request) = (UpstreamId(7), RequestId(1));
+    let guidance = Guidance {
+        admit: vec![0.5],
+        retries: Some(Allowance { share: 0.1, burst: 3 }),
+        probes: Some([upstream].into()),
+        cold: Some([(upstream, ColdLease { requests: 2, until: 5.5 })].into()),
+        come_back: Some([0.25, 0.5]),
+        ..Guidance::default()
+    };
+    let rings = vec![[ZoneId(3)].into(), Default::default()];
+    let residency = Residency { rings, classes: vec![Some(0), None], tenants: vec![Some(1)] };
+    for event in [
+        Event::Guided(Box::new(guidance)),
+        Event::Reported { upstream, report: Report::default(), age: 2.5 },
+        Event::Tried { upstream, well: true },
+        Event::Within(residency),
+    ] {
+        let text = serde_json::to_string(&event).unwrap();
+        assert_eq!(serde_json::from_str::<Event>(&text).unwrap(), event, "{text}");
+    }
+    let refuse = |reason| Action::Refuse { request, retry_after: 1.0, reason };
+    let text = r#"{"refuse":{"request":1,"retry_after":1.0}}"#;
+    assert_eq!(serde_json::to_string(&refuse(Reason::Overload)).unwrap(), text);
+    assert_eq!(serde_json::from_str::<Action>(text).unwrap(), refuse(Reason::Overload));
+    let text = serde_json::to_string(&refuse(Reason::Residency)).unwrap();
+    assert_eq!(serde_json::from_str::<Action>(&text).unwrap(), refuse(Reason::Residency));
+    let alone = serde_json::to_string(&Balancer::new(settings(), 1)).unwrap();
+    assert!(!alone.contains("guided") && !alone.contains("rings") && !alone.contains("bounds"), "{alone}");
+}
