--- a/crates/listclock/src/lib.rs
+++ b/crates/listclock/src/lib.rs
@@ -45,6 +45,12 @@
 /// nothing were amiss; from then on they are waited for like calls that failed.
 const SHORT: Millis = 2_000.0;
 const SHORT_FREE: u32 = 2;
+/// Who asks for others does so after this share of the time for asking...
+const OFTEN_SHARE: f64 = 0.25;
+/// ...and after this at the soonest.
+const OFTEN_LEAST: Millis = 500.0;
+/// Who is asked for by another waits so many times as long.
+const SELDOM: f64 = 4.0;
 
 /// What a deployment says of its discovery.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -90,6 +96,18 @@
     GiveUp,
 }
 
+/// How eagerly discovery is asked while it does not answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Pace {
+    /// As a sidecar by itself asks.
+    #[default]
+    Usual,
+    /// For others that ask seldom meanwhile.
+    Often,
+    /// Another asks for it and tells what it hears.
+    Seldom,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum State {
     Waiting {
@@ -114,6 +132,7 @@
     rules: Rules,
     rng: Rand64,
     state: State,
+    pace: Pace,
     /// Whether there is no list yet.
     empty: bool,
     /// Calls that failed, and watches that were short, one after the other.
@@ -141,6 +160,7 @@
             rules,
             state: State::Waiting { until: now + window * rng.rand_float() },
             rng,
+            pace: Pace::Usual,
             empty: start == Start::Empty,
             failures: 0,
             short: 0,
@@ -179,6 +199,26 @@
         }
     }
 
+    /// Asks at another pace from now on. A wait that has begun is drawn anew: whoever asks more eagerly than before
+    /// does not wait longer for it, and whoever asks less eagerly not shorter. So those whose coordinator has gone ask
+    /// again within their usual window, spread over it.
+    pub fn ask(&mut self, now: Millis, pace: Pace) {
+        let eager = |pace| match pace {
+            Pace::Seldom => 0,
+            Pace::Usual => 1,
+            Pace::Often => 2,
+        };
+        let before = std::mem::replace(&mut self.pace, pace);
+        let State::Waiting { until } = self.state else { return };
+        if before == pace {
+            return;
+        }
+        self.wait(now);
+        if let State::Waiting { until: anew } = &mut self.state {
+            *anew = if eager(pace) > eager(before) { until.min(*anew) } else { until.max(*anew) };
+        }
+    }
+
     /// Takes in what came of the last order. What comes while nothing is open is passed over.
     pub fn heard(&mut self, now: Millis, what: Heard) {
         match (&mut self.state, what) {
@@ -220,12 +260,21 @@
 
     /// Draws when to call again.
     fn wait(&mut self, now: Millis) {
-        let mut window = self.window();
+        let (mut window, mut least) = (self.window(), 0.0);
+        match self.pace {
+            Pace::Usual => {}
+            Pace::Seldom => window *= SELDOM,
+            Pace::Often => {
+                least = OFTEN_LEAST;
+                let often = self.rules.must_ask_in.map_or(0.0, |within| within * OFTEN_SHARE);
+                window = (window.min(often) - least).max(0.0);
+            }
+        }
         if now < self.told_by {
-            // The call's answer has to come before that, as far as that is still to be had.
+            // The call's answer has to come before that, as far as that is still to be had, whoever else asks.
             window = window.min((self.told_by - CALL - now).max(LEAST_WINDOW));
         }
-        self.state = State::Waiting { until: now + window * self.rng.rand_float() };
+        self.state = State::Waiting { until: now + least + window * self.rng.rand_float() };
     }
 
     /// The window for the next call by what came before it alone.
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -1,6 +1,8 @@
 //! The operators' own settings: the file that `--operator` names, checked whole before anything runs. What it
 //! does not name is off.
 
+mod peers;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -12,6 +14,8 @@
 use serde::de::{Error, IgnoredAny};
 use serde::{Deserialize, Deserializer};
 
+pub use peers::{MEMBER, Peers};
+
 /// The operators' file, a section a feature.
 #[derive(Deserialize, JsonSchema, Default, Debug)]
 #[serde(deny_unknown_fields)]
@@ -33,6 +37,8 @@
     /// Policies by route. Read and checked by the package for routes, which sees the text itself.
     #[schemars(with = "Option<routes::schema::Section>")]
     pub routes: Option<IgnoredAny>,
+    /// A fleet that acts together.
+    pub peers: Option<Peers>,
 }
 
 /// Settings of the address lists.
@@ -240,6 +246,7 @@
             key => anyhow!("{key}: {}", error.inner()),
         })?;
         json.end()?;
+        operator.peers.as_ref().map_or(Ok(()), Peers::check)?;
         Ok(operator)
     }
 }
@@ -257,7 +264,7 @@
     fn what_is_not_named_is_off() {
         let operator = Operator::parse(b"{}").expect("an empty file is sound");
         assert!(operator.address_lists.is_none() && operator.figures.is_none());
-        assert!(operator.capture.is_none() && operator.tls.is_none());
+        assert!(operator.capture.is_none() && operator.tls.is_none() && operator.peers.is_none());
         assert!(Operator::read(None).expect("no file").address_lists.is_none());
     }
 
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -131,12 +131,12 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub(crate) mod tests {
     use sagemast::Balancer;
 
     use super::*;
 
-    const CONFIG: &str = r#"{"classes":[
+    pub(crate) const CONFIG: &str = r#"{"classes":[
         {"name":"bill","aim":600,"hard_limit":1500,"importance":3,"effect":"once"},
         {"name":"fetch","aim":500,"hard_limit":6000,"importance":2,"effect":"repeatable"}],
         "allowed":{"max_attempts":3,"connect_timeout":250},"peers_total":3,"membership_mode":"automatic",
