--- a/crates/listclock/src/lib.rs
+++ b/crates/listclock/src/lib.rs
@@ -169,6 +169,11 @@
         }
     }
 
+    /// Whether a call is out that is not answered.
+    pub fn is_calling(&self) -> bool {
+        matches!(self.state, State::Calling { .. })
+    }
+
     /// When to ring; `None` where only news can change anything.
     pub fn due(&self) -> Option<Millis> {
         match self.state {
--- a/crates/listclock/tests/table.rs
+++ b/crates/listclock/tests/table.rs
@@ -206,6 +206,57 @@
     }
 }
 
+/// Who asks for a region in an outage asks soon after each failure, and not twice in half a second.
+#[test]
+fn who_asks_for_others_asks_often() {
+    for (rules, longest) in [(ASKED, 2_500.0), (PUSHED, 500.0)] {
+        for mut clock in watching(rules) {
+            clock.heard(5_000.0, Heard::Ended);
+            let mut before = call(&mut clock);
+            clock.heard(before + 1.0, Heard::Ended);
+            clock.ask(before + 1.0, Pace::Often);
+            for turn in 0..8 {
+                let at = call(&mut clock);
+                let gap = at - before - 1.0;
+                // The first wait had begun before its duty did, and may end sooner than one of its own.
+                let least = if turn == 0 { 0.0 } else { 499.0 };
+                assert!((least..=longest).contains(&gap), "{rules:?}: {gap}");
+                clock.heard(at + 1.0, Heard::Ended);
+                before = at;
+            }
+        }
+    }
+}
+
+/// Who is asked for by another waits longer, as far as its own duty lets it, and when that other is gone comes back
+/// within the usual window, spread over it.
+#[test]
+fn who_is_asked_for_asks_seldom_and_comes_back_spread() {
+    for (rules, usual, longest) in [(ASKED, 7_500.0, 30_000.0), (PUSHED, 1_200.0, 4_800.0)] {
+        let (mut widest, mut back): (Millis, Vec<Millis>) = (0.0, Vec::new());
+        for mut clock in watching(rules) {
+            clock.heard(5_000.0, Heard::Ended);
+            clock.ask(5_000.0, Pace::Seldom);
+            let mut at = call(&mut clock);
+            for _ in 0..5 {
+                clock.heard(at + 1.0, Heard::Ended);
+                let next = call(&mut clock);
+                widest = widest.max(next - at);
+                assert!(next - at <= longest + 2.0, "{rules:?}: {}", next - at);
+                // Nobody's duty: what is missed from a failed call on counts as told after 4 M.
+                at = next;
+            }
+            clock.heard(at + 1.0, Heard::Ended);
+            clock.ask(at + 2.0, Pace::Usual);
+            back.push(call(&mut clock) - at - 2.0);
+        }
+        assert!(widest > 2.0 * usual, "{rules:?}: {widest}");
+        assert!(back.iter().all(|wait| *wait <= usual), "{back:?}");
+        let early = back.iter().filter(|wait| **wait < usual / 4.0).count() as f64 / SEEDS as f64;
+        assert!(early < 0.5, "{early} of all come within a quarter of the window");
+    }
+}
+
 /// Settings that leave no time, or none that makes sense, make no storm.
 #[test]
 fn odd_settings_make_no_storm() {
--- a/crates/node/src/engine/attempts.rs
+++ b/crates/node/src/engine/attempts.rs
@@ -34,7 +34,7 @@
         let (give_up, given_up) = oneshot::channel();
         let sent = Sent { upstream, forward: forward.clone(), at: now, give_up: Some(give_up) };
         self.sent.insert((request, attempt), sent);
-        self.transport.attempt(Attempt { flight, forward, given_up, open: lease });
+        self.transport.attempt(Attempt { flight, forward, given_up, open: lease, pass: None });
     }
 
     /// An attempt has ended.
--- a/crates/node/src/engine/list.rs
+++ b/crates/node/src/engine/list.rs
@@ -104,6 +104,6 @@
     /// What a transport must know of it.
     fn peer(&self) -> Peer {
         let serving = self.listing.lifecycle == Lifecycle::Serving;
-        Peer { host: self.host.clone(), dial: self.dial, life: self.life, serving }
+        Peer { host: self.host.clone(), dial: self.dial, life: self.life, zone: None, serving }
     }
 }
--- /dev/null
+++ b/crates/node/src/engine/members.rs
@@ -0,0 +1,90 @@
+//! The seam towards the other members of a fleet: datagrams out and in. Both ways are queues of bounded length that
+//! lose their oldest, since what peers say is said again, and nothing about a request may wait for it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::mpsc;
+
+use super::Happening;
+
+/// Datagrams that wait for the engine at most: a second of what a member hears in the largest fleets.
+const WAITING: usize = 512;
+
+/// What became of datagrams since the start.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Losses {
+    /// Of those that came: passed over since the engine was slower than they came.
+    pub unheard: u64,
+    /// Came from an address that no member has.
+    pub strangers: u64,
+    /// Of those to be sent: dropped since the socket was slower than they came.
+    pub unsent: u64,
+    /// The system would not send them.
+    pub failed: u64,
+}
+
+/// Carries datagrams to the other members. Nothing here waits.
+pub trait Members: Send {
+    /// Sends a datagram, soon or never.
+    fn send(&self, to: SocketAddr, bytes: Vec<u8>);
+    /// What became of datagrams since the start.
+    fn losses(&self) -> Losses;
+}
+
+/// Where datagrams wait for the engine.
+#[derive(Clone)]
+pub struct Mailbox {
+    waiting: Arc<Mutex<VecDeque<(SocketAddr, Vec<u8>)>>>,
+    happenings: mpsc::UnboundedSender<Happening>,
+}
+
+impl Mailbox {
+    pub(super) fn new(happenings: mpsc::UnboundedSender<Happening>) -> Mailbox {
+        Mailbox { waiting: Arc::default(), happenings }
+    }
+
+    /// A datagram came. Whether all that waited before it still does: the oldest makes room.
+    pub fn deliver(&self, from: SocketAddr, bytes: Vec<u8>) -> bool {
+        let mut waiting = self.waiting();
+        let has_room = waiting.len() < WAITING;
+        if !has_room {
+            waiting.pop_front();
+        }
+        // The engine takes all that waits at once: it is told of the first only.
+        if waiting.is_empty() {
+            let _ = self.happenings.send(Happening::Mail);
+        }
+        waiting.push_back((from, bytes));
+        has_room
+    }
+
+    /// All that waits.
+    pub(super) fn take(&self) -> VecDeque<(SocketAddr, Vec<u8>)> {
+        std::mem::take(&mut *self.waiting())
+    }
+
+    /// Held for moments only, never over a wait.
+    fn waiting(&self) -> MutexGuard<'_, VecDeque<(SocketAddr, Vec<u8>)>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_slow_engine_misses_the_oldest_and_is_told_once() {
+        let (happenings, mut told) = mpsc::unbounded_channel();
+        let mailbox = Mailbox::new(happenings);
+        let from = SocketAddr::from(([127, 0, 0, 1], 9));
+        let kept = (0..WAITING + 3).filter(|n| mailbox.deliver(from, vec![(*n % 256) as u8])).count();
+        assert_eq!(kept, WAITING);
+        let waiting = mailbox.take();
+        assert_eq!((waiting.len(), waiting.front().map(|(_, bytes)| bytes[0])), (WAITING, Some(3)));
+        assert!(matches!(told.try_recv(), Ok(Happening::Mail)) && told.try_recv().is_err());
+        assert!(mailbox.deliver(from, Vec::new()) && told.try_recv().is_ok(), "the next is told again");
+    }
+}
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod counters;
 mod intake;
 mod list;
+mod members;
 mod message;
 mod roster;
 mod transport;
@@ -17,7 +18,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::peers::api::Reach;
 use anyhow::Result;
+use listclock::Pace;
 use routes::Table;
 use sagemast::Balancer;
 use sagemast::api::*;
@@ -34,9 +37,10 @@
 use intake::Arrival;
 
 pub use intake::{Asked, Intake, Names};
+pub use members::{Losses, Mailbox, Members};
 pub use message::{Answer, BODY_BYTES, End, Final, Forward, end_to_end};
 pub use roster::{Entry, Following, List, News, Roster, Start};
-pub use transport::{Attempt, Counts, Flight, Peer, Reports, Transport};
+pub use transport::{Attempt, Counts, Flight, Gate, Pass, Peer, Reports, Transport};
 
 /// The module is told this much less than the client waits: its last word must reach the client in time.
 const IN_HAND: Duration = Duration::from_millis(8);
@@ -64,6 +68,10 @@
     Rerouted(Table),
     /// The operators want to see the capture.
     Dump,
+    /// Datagrams of other members wait.
+    Mail,
+    /// Discovery is in reach or out of it.
+    Reach(Reach),
 }
 
 /// The way to an engine, for whoever wires it to its surroundings.
@@ -87,7 +95,7 @@
         Ways {
             intake: Arc::new(Intake::new(names, happenings.clone())),
             reports: Reports(happenings.clone()),
-            news: News(happenings.clone()),
+            news: News { happenings: happenings.clone(), pace: None },
             orders: Orders(happenings),
             inbox: Inbox(inbox),
         }
@@ -121,6 +129,14 @@
         }
     }
 
+    /// What members have sent, once there is some.
+    pub(crate) async fn mail(&mut self, mailbox: &Mailbox) -> Vec<(SocketAddr, Vec<u8>)> {
+        match self.0.recv().await {
+            Some(Happening::Mail) => mailbox.take().into(),
+            _ => panic!("no datagram has come"),
+        }
+    }
+
     /// Whether nothing more can come.
     pub(crate) async fn is_over(&mut self) -> bool {
         self.0.recv().await.is_none()
@@ -142,6 +158,11 @@
         let _ = self.0.send(Happening::Rerouted(table));
     }
 
+    /// Where datagrams of other members wait for the engine, where there are any.
+    pub fn mailbox(&self) -> Mailbox {
+        Mailbox::new(self.0.clone())
+    }
+
     /// Writes the capture to the log.
     pub fn dump(&self) {
         let _ = self.0.send(Happening::Dump);
@@ -440,6 +461,7 @@
                 self.follow(Start::Moved(before));
             }
             Happening::Rerouted(table) => self.reroute(table),
+            Happening::Mail | Happening::Reach(_) => {}
             Happening::Dump => match &self.capture {
                 Some(capture) => capture.dump(),
                 None => info!("SIGUSR1: capture is off"),
--- a/crates/node/src/engine/roster.rs
+++ b/crates/node/src/engine/roster.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use tokio::sync::mpsc;
+use ::peers::api::Reach;
+use listclock::Pace;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
 
 use super::Happening;
@@ -87,16 +89,37 @@
 
 /// Where a roster tells its news.
 #[derive(Clone)]
-pub struct News(pub(super) mpsc::UnboundedSender<Happening>);
+pub struct News {
+    pub(super) happenings: mpsc::UnboundedSender<Happening>,
+    /// How eagerly the source is asked, where a fleet decides on it.
+    pub(super) pace: Option<watch::Receiver<Pace>>,
+}
 
 impl News {
     /// Whether nobody hears it any more.
     pub fn is_over(&self) -> bool {
-        self.0.is_closed()
+        self.happenings.is_closed()
     }
 
     /// A list, or what changed. Whether anybody still hears it.
     pub fn listed(&self, list: List) -> bool {
-        self.0.send(Happening::Listed(list)).is_ok()
+        self.happenings.send(Happening::Listed(list)).is_ok()
+    }
+
+    /// These news for rosters whose source is asked as a fleet decides, and which tell how it answers.
+    pub fn of_fleet(&self, pace: watch::Receiver<Pace>) -> News {
+        News { pace: Some(pace), ..self.clone() }
+    }
+
+    /// How eagerly the source is asked, as it changes; nothing where no fleet decides on it.
+    pub fn pace(&self) -> Option<watch::Receiver<Pace>> {
+        self.pace.clone()
+    }
+
+    /// The source is in reach, or out of it. Heard only where a fleet wants to know.
+    pub fn reach(&self, reach: Reach) {
+        if self.pace.is_some() {
+            let _ = self.happenings.send(Happening::Reach(reach));
+        }
     }
 }
--- a/crates/node/src/engine/transport.rs
+++ b/crates/node/src/engine/transport.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Weak};
 
-use sagemast::api::{AttemptNo, RequestId, UpstreamId};
+use sagemast::api::{AttemptNo, ClassId, RequestId, TenantId, UpstreamId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -24,6 +24,23 @@
     pub until: Instant,
 }
 
+/// Where requests may go, by rules that may change while an attempt is on its way to its connection.
+pub trait Gate: Send + Sync {
+    /// Whether a request of this class and tenant may be written to a server in this zone, now.
+    fn lets(&self, class: ClassId, tenant: TenantId, zone: &str) -> bool;
+}
+
+/// What a transport asks a [`Gate`] for one request.
+#[derive(Clone)]
+pub struct Pass {
+    /// Who decides.
+    pub gate: Arc<dyn Gate>,
+    /// The request's class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+}
+
 /// An attempt for a transport to carry.
 pub struct Attempt {
     /// Which it is.
@@ -34,6 +51,8 @@
     pub given_up: oneshot::Receiver<()>,
     /// Alive until the request has its final answer: what is not written by then must not be.
     pub open: Weak<()>,
+    /// Where it may go; absent: anywhere.
+    pub pass: Option<Pass>,
 }
 
 impl Attempt {
@@ -42,6 +61,12 @@
         !matches!(self.given_up.try_recv(), Err(oneshot::error::TryRecvError::Empty))
     }
 
+    /// Whether it may be written to a server in this zone, which the roster may have moved there meanwhile.
+    pub fn may_go_to(&self, peer: &Peer) -> bool {
+        let zone = peer.zone.as_deref().unwrap_or_default();
+        self.pass.as_ref().is_none_or(|Pass { gate, class, tenant }| gate.lets(*class, *tenant, zone))
+    }
+
     /// Whether the request is still owed an answer and the attempt was not given up.
     pub fn is_wanted(&mut self) -> bool {
         !self.is_given_up() && self.open.strong_count() > 0
@@ -57,6 +82,8 @@
     pub dial: SocketAddr,
     /// Which of its lives: connections do not outlast one.
     pub life: u64,
+    /// The name of its zone, where rules ask for it.
+    pub zone: Option<Arc<str>>,
     /// Whether it takes new work. To one that does not, nothing is written that is not yet on its way.
     pub serving: bool,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod module_settings;
 pub mod operator;
 pub mod output;
+pub mod peers;
 pub mod replay;
 pub mod rosters;
 pub mod routing;
--- a/crates/node/src/operator/peers.rs
+++ b/crates/node/src/operator/peers.rs
@@ -260,11 +260,16 @@
         let config = peers.config(Some("s2"), &settings).expect("a member");
         assert_eq!(config.me, api::MemberId(1), "members stand in the order of their names");
         assert_eq!(config.regions, ["east", "west"]);
-        assert_eq!((config.members[0].region, config.members[1].region), (api::RegionId(0), api::RegionId(1)));
+        assert_eq!(
+            (config.members[0].region, config.members[1].region),
+            (api::RegionId(0), api::RegionId(1))
+        );
         assert_eq!(config.classes.len(), 2);
         assert_eq!(config.timing, api::Timing::default());
         assert_eq!(peers.bind(Some("s1")).expect("a member"), "10.0.0.1:7946".parse().expect("an address"));
-        for (me, environment) in [(None, None), (None, Some("s3")), (None, Some("")), (Some("s1"), Some("s2"))] {
+        for (me, environment) in
+            [(None, None), (None, Some("s3")), (None, Some("")), (Some("s1"), Some("s2"))]
+        {
             let peers = Peers { me: me.map(str::to_owned), ..peers.clone() };
             let refused = peers.config(environment, &settings).expect_err("nobody, a stranger or two");
             assert!(refused.to_string().contains("peers.me"), "{refused}");
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -7,15 +7,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use ::peers::api::Reach;
 use anyhow::{Context, Result, bail};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use listclock::{Clock, Heard, Millis, Order, Rules};
+use listclock::{Clock, Heard, Millis, Order, Pace, Rules};
 use serde::Deserialize;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -136,7 +138,9 @@
         let (address, news, seed) = (self.address, self.news.clone(), self.seed);
         Following::by(move |retired| {
             let clock = Clock::new(rules, start, seed, 0.0);
-            Watch { address, version: from, news, clock, epoch: Instant::now(), retired, before }.keep()
+            let pace = news.pace();
+            let epoch = Instant::now();
+            Watch { address, version: from, news, clock, epoch, retired, before, pace, reach: None }.keep()
         })
     }
 }
@@ -155,6 +159,20 @@
     retired: Arc<AtomicBool>,
     /// What was followed before and is let go at the first list: the new discovery may not be up yet.
     before: Option<Following>,
+    /// How eagerly it is asked, where a fleet decides on it.
+    pace: Option<watch::Receiver<Pace>>,
+    /// Whether discovery answers, as it was told last.
+    reach: Option<Reach>,
+}
+
+/// The next change of the pace; never where no fleet decides on it.
+async fn changed(pace: &mut Option<watch::Receiver<Pace>>) -> Pace {
+    if let Some(pace) = pace
+        && pace.changed().await.is_ok()
+    {
+        return *pace.borrow_and_update();
+    }
+    std::future::pending().await
 }
 
 impl Watch {
@@ -162,12 +180,22 @@
     async fn keep(mut self) {
         while !self.news.is_over() {
             let due = self.clock.due().and_then(|due| self.instant(due));
-            sleep_until(due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60))).await;
+            tokio::select! {
+                () = sleep_until(due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60))) => {}
+                pace = changed(&mut self.pace) => {
+                    self.clock.ask(self.millis(), pace);
+                    continue;
+                }
+            }
             if self.retired.load(Ordering::Relaxed) {
                 return;
             }
             if self.clock.ring(self.millis()) == Some(Order::Call) {
                 let Err(end) = self.once().await;
+                // Before it is answered a call has failed; after it, the next call shows whether discovery is there.
+                if self.clock.is_calling() {
+                    self.reach(Reach::Down);
+                }
                 self.clock.heard(self.millis(), Heard::Ended);
                 log::line(format!("discovery: {end:#}"));
             }
@@ -192,6 +220,7 @@
                 return Ok(came);
             }
             if self.clock.ring(self.millis()) == Some(Order::GiveUp) {
+                self.reach(Reach::Down);
                 bail!("{what}");
             }
         }
@@ -212,6 +241,7 @@
             bail!("answered {}", response.status());
         }
         self.clock.heard(self.millis(), Heard::Answered);
+        self.reach(Reach::Up);
         let mut body = response.into_body();
         let mut values = Values::default();
         loop {
@@ -232,6 +262,13 @@
         }
     }
 
+    /// Tells whether discovery answers, whenever that changes.
+    fn reach(&mut self, reach: Reach) {
+        if self.reach.replace(reach) != Some(reach) {
+            self.news.reach(reach);
+        }
+    }
+
     fn tell(&mut self, list: &HostList) -> Result<()> {
         // A discovery that has lost its memory counts anew: its whole list holds. Changes before what is held are
         // changes of something else.
--- a/crates/node/src/transports/http1/mod.rs
+++ b/crates/node/src/transports/http1/mod.rs
@@ -84,6 +84,9 @@
     Dial(OwnedSemaphorePermit),
 }
 
+/// Why nothing was written, where rules of residency forbid it.
+const OUTSIDE: &str = "outside its regions";
+
 /// How one exchange of an attempt went.
 enum Went {
     /// The attempt has ended.
@@ -196,6 +199,15 @@
         state.places.get(&upstream).is_some_and(|place| place.peer.life == life && place.peer.serving)
     }
 
+    /// Whether the rules let an attempt be written to an upstream as it was met and as it is now.
+    fn may_go(&self, attempt: &Attempt, peer: &Peer) -> bool {
+        if attempt.pass.is_none() {
+            return true;
+        }
+        let now = self.state().places.get(&attempt.flight.upstream).map(|place| place.peer.clone());
+        attempt.may_go_to(peer) && now.is_none_or(|now| attempt.may_go_to(&now))
+    }
+
     fn put_back(&self, upstream: UpstreamId, life: u64, connection: Connection) {
         let mut state = self.state();
         let Some(place) = state.places.get_mut(&upstream) else { return };
@@ -222,6 +234,13 @@
                     Err(outcome) => return self.reports.ended(flight, End::Outcome(outcome, None)),
                 },
             };
+            // Nothing is waited for between this and the first byte. A list may have moved the name to another zone
+            // while it connected: neither where it was nor where it is now may be outside.
+            if !self.may_go(&attempt, &peer) {
+                self.put_back(flight.upstream, peer.life, connection);
+                let end = End::Broken(Outcome::NotSent, OUTSIDE.to_owned());
+                return self.reports.ended(flight, end);
+            }
             match self.exchange(&mut attempt, connection, &peer).await {
                 Went::Ended(end) => return self.reports.ended(flight, end),
                 Went::Told => return,
@@ -380,13 +399,13 @@
 
 #[cfg(test)]
 mod tests {
-    use sagemast::api::{AttemptNo, RequestId};
+    use sagemast::api::{AttemptNo, ClassId, RequestId, TenantId};
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::sync::oneshot;
 
     use super::*;
-    use crate::engine::{Flight, Names, Seen, Ways};
+    use crate::engine::{Flight, Gate, Names, Pass, Seen, Ways};
 
     const UPSTREAM: UpstreamId = UpstreamId(7);
 
@@ -406,7 +425,7 @@
     }
 
     fn peer(dial: SocketAddr, life: u64) -> Peer {
-        Peer { host: "a".into(), dial, life, serving: true }
+        Peer { host: "a".into(), dial, life, zone: Some("z1".into()), serving: true }
     }
 
     /// An attempt, and what keeps it wanted.
@@ -425,7 +444,8 @@
             upstream: UPSTREAM,
             until: Instant::now() + Duration::from_secs(10),
         };
-        let attempt = Attempt { flight, forward: Arc::new(forward), given_up, open: Arc::downgrade(&open) };
+        let attempt =
+            Attempt { flight, forward: Arc::new(forward), given_up, open: Arc::downgrade(&open), pass: None };
         (attempt, give_up, open)
     }
 
@@ -480,6 +500,36 @@
         }
     }
 
+    /// Lets requests go to one zone.
+    struct Only(&'static str);
+
+    impl Gate for Only {
+        fn lets(&self, _: ClassId, _: TenantId, zone: &str) -> bool {
+            zone == self.0
+        }
+    }
+
+    /// A list that moves a name to another zone while an attempt connects: not a byte leaves.
+    #[tokio::test]
+    async fn nothing_is_written_outside_the_regions_of_a_request() {
+        for (gate, moves) in [("z2", false), ("z1", true)] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let dial = listener.local_addr().expect("an address");
+            let (transport, mut seen) = stage(settings());
+            transport.met(UPSTREAM, peer(dial, 0));
+            let (mut attempt, _give_up, _open) = attempt();
+            attempt.pass = Some(Pass { gate: Arc::new(Only(gate)), class: ClassId(0), tenant: TenantId(0) });
+            transport.attempt(attempt);
+            if moves {
+                transport.met(UPSTREAM, Peer { zone: Some("z2".into()), ..peer(dial, 0) });
+            }
+            assert_eq!(seen.end().await, (RequestId(2), Outcome::NotSent), "{gate}");
+            transport.lost(UPSTREAM);
+            let (mut stream, _) = listener.accept().await.expect("it had connected");
+            assert_eq!(stream.read(&mut [0]).await.ok(), Some(0), "{gate}");
+        }
+    }
+
     #[tokio::test]
     async fn out_of_connections_an_attempt_was_not_sent() {
         let (transport, mut seen) = stage(Settings { connections: 0, ..settings() });
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -89,6 +89,8 @@
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
+    peers: bool,
+    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after: f64,
@@ -169,6 +171,11 @@
         asked.then_some(self.invariants.must_ask_in).filter(|within| within.is_finite())
     }
 
+    /// Whether sidecars may send each other messages. Like every other allowance, one that is not given is not there.
+    pub fn peers_allowed(&self) -> bool {
+        self.allowed.peers
+    }
+
     /// What one of these costs, as a share of a request's worth; nothing where the platform names no price.
     fn fee(&self, name: &str) -> f64 {
         self.fees.get(name).copied().filter(|fee| fee.is_finite() && *fee > 0.0).unwrap_or(0.0)
