--- a/crates/concert/src/api.rs
+++ b/crates/concert/src/api.rs
@@ -22,6 +22,8 @@
 pub struct Setup<'a> {
     /// The member of a fleet that this sidecar is, if it is one.
     pub peers: Option<peers::api::Config>,
+    /// Its rules of residency, if it has some.
+    pub residency: Option<residency::Rules>,
     /// When this process started, in Unix milliseconds: higher than that of all processes before it.
     pub incarnation: u64,
     /// For all that is drawn at random.
@@ -78,6 +80,8 @@
     /// The module's classes from now on. To be handed over, and what comes of it to the module, before the module
     /// gets requests of new ones.
     Classes(Vec<ClassNames>),
+    /// The operators' rules of residency from now on.
+    Reread(Option<residency::Rules>),
 }
 
 /// Something to do, in order.
--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -1,6 +1,7 @@
 //! The program: its command line, its signals, and the wiring of the sidecar.
 
 mod cli;
+mod fleet;
 mod operator_commands;
 
 use std::io::{BufWriter, Write};
@@ -27,14 +28,17 @@
 use node::fronts::http::{self, Doors, Front};
 use node::fronts::tls::{Source, Tls};
 use node::log;
-use node::operator::{self, Operator};
+use node::operator::{self, Facts, Operator};
 use node::replay::{self, Tally};
 use node::rosters::discovery::{self, HostList};
 use node::routing::platform;
 use node::transports::http1::{self, Http1};
+use residency::Rules;
+use routes::Table;
 use routes::policy::Platform;
 
 use cli::{Cli, Command, Replay};
+use fleet::{AtStart, Parts};
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -120,10 +124,15 @@
     let (phase, phases) = watch::channel(Phase::Open);
     let seed = config.seed();
     let longest = Duration::from_secs_f64(config.settings.longest_deadline_ms() / 1e3);
+    let parts = Parts::new(&operator, &config.settings);
     let figures = match operator.figures.take() {
         Some(settings) => {
             let every = Duration::from_millis(settings.flush_ms as u64);
-            let figures = operator.blame(Figures::start(settings, config.settings.class_names()))?;
+            let figures = operator.blame(Figures::start(
+                settings,
+                config.settings.class_names(),
+                parts.as_ref().map(Parts::standing),
+            ))?;
             tokio::spawn(figures.clone().run(every));
             Some(figures)
         }
@@ -132,16 +141,21 @@
     let lists = operator.address_lists.take().map(AddressLists::new);
     let names = Names { classes: config.settings.classes(), tenants: config.settings.tenant_names() };
     let Ways { intake, reports, news, orders, inbox } = Ways::new(names);
+    let news = parts.as_ref().map(|parts| parts.news(&news)).unwrap_or(news);
     let front = Arc::new(Front::new(intake.clone(), phases, lists, figures.clone()));
     let transport =
         Box::new(Http1::new(http1::Settings::new(&config.settings, config.limits.upstreams()), reports));
     let roster = Box::new(source(&config, news.clone()));
-    let surroundings = Surroundings { intake, inbox, transport, roster };
     let (clients, known) = (config.limits.clients(), config.known.as_ref().map(HostList::list));
     let platform = platform(&config.settings);
     let table = operator.table(&platform)?;
+    let facts = Facts::new(&config.settings);
+    let rules = fleet::rules(&operator, &facts, &platform, &table)?;
+    let at_start = AtStart { peers: operator.peers.clone(), acts: parts.is_some() };
+    let fleet = operator.blame(parts.map(|parts| parts.open(&config, &orders, rules)).transpose())?;
+    let surroundings = Surroundings { intake, inbox, transport, roster, fleet };
     let asked = Arc::new(Notify::new());
-    let reread = Reread { orders: orders.clone(), news, operator: file, platform };
+    let reread = Reread { orders: orders.clone(), news, operator: file, platform, facts, at_start };
     tokio::spawn(reread.run(asked.clone()));
     let engine = Engine::new(config.settings, seed, table, surroundings, operator.capture.as_ref());
     let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
@@ -199,6 +213,9 @@
     operator: Option<PathBuf>,
     /// What routes are checked against. The platform's settings stay as they were at the start.
     platform: Platform,
+    /// What rules of residency are checked against, likewise.
+    facts: Facts,
+    at_start: AtStart,
 }
 
 impl Reread {
@@ -216,10 +233,16 @@
     /// Reads the files again and tells the engine what may change while it runs. A file that cannot be used is no
     /// reason to stop serving by the one that could.
     fn once(&self) {
-        match Operator::read(self.operator.as_deref()).and_then(|operator| operator.table(&self.platform)) {
-            Ok(table) => self.orders.reroute(table),
+        match self.operators() {
+            Ok((table, rules)) => {
+                self.orders.reroute(table);
+                if self.at_start.acts {
+                    self.orders.rule(rules);
+                }
+            }
             Err(error) => {
-                info!("SIGHUP: the routes stay as they were:");
+                let rules = if self.at_start.acts { " and the rules of residency" } else { "" };
+                info!("SIGHUP: the routes{rules} stay as they were:");
                 format!("{error:#}").lines().for_each(|line| info!("{line}"));
             }
         }
@@ -231,4 +254,13 @@
             Err(error) => info!("SIGHUP: the configuration stays as it was: {error:#}"),
         }
     }
+
+    /// The operators' file, whole or not at all: routes and rules name each other.
+    fn operators(&self) -> Result<(Table, Option<Rules>)> {
+        let operator = Operator::read(self.operator.as_deref())?;
+        let table = operator.table(&self.platform)?;
+        let rules = fleet::rules(&operator, &self.facts, &self.platform, &table)?;
+        self.at_start.compare(&operator);
+        Ok((table, rules))
+    }
 }
--- a/crates/harelock/src/operator_commands.rs
+++ b/crates/harelock/src/operator_commands.rs
@@ -6,8 +6,9 @@
 
 use anyhow::{Context, Result, bail};
 use node::config::Config;
-use node::operator::Operator;
+use node::operator::{Facts, Operator};
 use node::routing::platform;
+use residency::Service;
 use routes::policy::{Backoff, CopyAfter, Failure, Platform, PlatformClass, Policy};
 use routes::schedule::{repeats_after, steps};
 use routes::{Refusal, Table};
@@ -49,39 +50,67 @@
     }
 }
 
-/// Reads the platform from its configuration.
-fn read_platform(config: &Path) -> Result<Platform> {
-    let shown = config.display();
-    let text = std::fs::read(config).with_context(|| format!("cannot read {shown}"))?;
-    let config = Config::parse(&text).with_context(|| format!("bad configuration in {shown}"))?;
-    Ok(platform(&config.settings))
+/// What a platform's configuration says to routes and to rules of residency.
+struct Ground {
+    platform: Platform,
+    facts: Facts,
+}
+
+impl Ground {
+    fn read(config: &Path) -> Result<Ground> {
+        let shown = config.display();
+        let text = std::fs::read(config).with_context(|| format!("cannot read {shown}"))?;
+        let config = Config::parse(&text).with_context(|| format!("bad configuration in {shown}"))?;
+        Ok(Ground { platform: platform(&config.settings), facts: Facts::new(&config.settings) })
+    }
 }
 
 /// Checks a file, and tells all that is wrong with it on `out`.
 pub fn check(check: &Check, out: &mut dyn Write) -> Result<ExitCode> {
     let shown = check.operator.display().to_string();
     let text = std::fs::read_to_string(&check.operator).with_context(|| format!("cannot read {shown}"))?;
-    let refusals = match &check.config {
-        Some(config) => Table::read(&text, &read_platform(config)?).err().unwrap_or_default(),
-        None if Operator::parse(text.as_bytes()).is_ok_and(|operator| operator.routes.is_some()) => {
-            bail!("routes can only be checked against a platform: name its configuration with --config")
-        }
-        None => Vec::new(),
-    };
+    let ground = check.config.as_deref().map(Ground::read).transpose()?;
+    // The other sections, each by its own feature's rules.
+    let operator = Operator::parse(text.as_bytes());
+    let needs_ground = |operator: &Operator| operator.routes.is_some() || operator.residency.is_some();
+    if ground.is_none() && operator.as_ref().is_ok_and(needs_ground) {
+        bail!("routes and residency are checked against a platform: name its configuration with --config");
+    }
+    let table = ground.as_ref().map_or(Ok(Table::default()), |ground| Table::read(&text, &ground.platform));
     let file = shown.as_str();
-    for Refusal { line, column, path, rule, reason } in &refusals {
+    for Refusal { line, column, path, rule, reason } in table.as_ref().err().into_iter().flatten() {
         let told = Told { file, line: *line, column: *column, path, rule: rule.name(), reason };
         told.write(check.json, out)?;
     }
-    // The other sections, each by its own feature's rules. What is no JSON was told already.
-    let others = Operator::parse(text.as_bytes()).err().filter(|_| refusals.is_empty());
-    if let Some(error) = &others {
-        let reason = &format!("{error:#}");
-        Told { file, line: 0, column: 0, path: "", rule: "section", reason }.write(check.json, out)?;
+    let mut sound = table.is_ok();
+    let mut summary = String::new();
+    match (&operator, &table) {
+        // Rules name routes: without sound ones they cannot be looked at. What is no JSON was told already.
+        (_, Err(_)) => {}
+        (Err(error), Ok(_)) => {
+            sound = false;
+            let reason = &format!("{error:#}");
+            Told { file, line: 0, column: 0, path: "", rule: "section", reason }.write(check.json, out)?;
+        }
+        (Ok(operator), Ok(table)) => {
+            let rules = ground.map(|Ground { platform, facts }| operator.residency(&facts, &platform, table));
+            match rules {
+                None | Some(Ok(None)) => {}
+                Some(Ok(Some(rules))) => summary = rules.summary(),
+                Some(Err(faults)) => {
+                    sound = false;
+                    for fault in &faults {
+                        let (path, reason) = fault.split_once(": ").unwrap_or(("", fault));
+                        let told = Told { file, line: 0, column: 0, path, rule: "residency", reason };
+                        told.write(check.json, out)?;
+                    }
+                }
+            }
+        }
     }
-    let sound = refusals.is_empty() && others.is_none();
     if sound && !check.json {
         writeln!(out, "{shown}: sound")?;
+        summary.lines().try_for_each(|line| writeln!(out, "{line}"))?;
     }
     Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(REFUSED) })
 }
@@ -96,7 +125,7 @@
 
 /// Tells which route a request takes and why, and its schedule.
 pub fn explain(explain: &Explain, out: &mut dyn Write) -> Result<ExitCode> {
-    let platform = read_platform(&explain.config)?;
+    let Ground { platform, facts } = Ground::read(&explain.config)?;
     let shown = explain.operator.display();
     let text = std::fs::read_to_string(&explain.operator).with_context(|| format!("cannot read {shown}"))?;
     let table = match Table::read(&text, &platform) {
@@ -108,6 +137,14 @@
             return Ok(ExitCode::from(REFUSED));
         }
     };
+    let operator = Operator::read(Some(&explain.operator))?;
+    let rules = match operator.residency(&facts, &platform, &table) {
+        Ok(rules) => rules,
+        Err(faults) => {
+            faults.iter().try_for_each(|fault| writeln!(out, "{shown}: {fault}"))?;
+            return Ok(ExitCode::from(REFUSED));
+        }
+    };
     let path = explain.path.split(['?', '#']).next().unwrap_or_default();
     let first = routes::matching::segments(path).next().unwrap_or_default();
     let Some(index) = platform.classes.iter().position(|class| class.name == first) else {
@@ -140,6 +177,13 @@
             policy(out, &route.policy, class, &platform)?;
         }
     }
+    if let Some(rules) = rules {
+        let route = matching.first().map(|place| Service::Route(table.routes[*place].name.clone()));
+        let tenant = header("x-tenant-id").map(|name| Service::Tenant(name.to_owned()));
+        let services: Vec<Service> =
+            [Some(Service::Class(class.name.clone())), route, tenant].into_iter().flatten().collect();
+        writeln!(out, "{}", rules.explain(&services))?;
+    }
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/node/src/engine/attempts.rs
+++ b/crates/node/src/engine/attempts.rs
@@ -34,7 +34,8 @@
         let (give_up, given_up) = oneshot::channel();
         let sent = Sent { upstream, forward: forward.clone(), at: now, give_up: Some(give_up) };
         self.sent.insert((request, attempt), sent);
-        self.transport.attempt(Attempt { flight, forward, given_up, open: lease, pass: None });
+        let pass = self.acting.as_ref().map(|acting| acting.pass(open.class, open.tenant));
+        self.transport.attempt(Attempt { flight, forward, given_up, open: lease, pass });
     }
 
     /// An attempt has ended.
--- a/crates/node/src/engine/counters.rs
+++ b/crates/node/src/engine/counters.rs
@@ -38,6 +38,10 @@
     pub late: u32,
     /// Refused.
     pub refused: u32,
+    /// Of those, since no server serves where they may go, and since the fleet sheds their class.
+    pub outside: u32,
+    /// Likewise.
+    pub shed: u32,
     /// Not served, and never sent to an upstream.
     pub unsent: u32,
     /// Failed.
@@ -56,6 +60,8 @@
         self.served += other.served;
         self.late += other.late;
         self.refused += other.refused;
+        self.outside += other.outside;
+        self.shed += other.shed;
         self.unsent += other.unsent;
         self.failed += other.failed;
         self.left += other.left;
@@ -64,8 +70,13 @@
 
 impl Display for Tally {
     fn fmt(&self, f: &mut Formatter<'_>) -> Result {
-        let Tally { arrived, served, late, refused, unsent, failed, left } = self;
-        write!(f, "arrived={arrived} served={served} late={late} refused={refused} unsent={unsent}")?;
+        let Tally { arrived, served, late, refused, outside, shed, unsent, failed, left } = self;
+        write!(f, "arrived={arrived} served={served} late={late} refused={refused}")?;
+        // Without rules and without a fleet there are none of these, and no word on them.
+        if outside + shed > 0 {
+            write!(f, " of_them_outside={outside} of_them_shed={shed}")?;
+        }
+        write!(f, " unsent={unsent}")?;
         write!(f, " failed={failed} left={left}")
     }
 }
--- a/crates/node/src/engine/list.rs
+++ b/crates/node/src/engine/list.rs
@@ -36,6 +36,14 @@
             self.forget();
         }
         self.intake.make_ready(!listings.is_empty() || (whole && !restored));
+        if self.acting.is_some() {
+            let entries = listings.iter().filter_map(|listing| {
+                let server = self.servers.get(&listing.upstream)?;
+                Some((listing.upstream, server.told()?))
+            });
+            let entries = entries.collect();
+            self.listed_company(list.version, whole, entries);
+        }
         self.event(Event::Listed(match (restored, whole) {
             (true, _) => ListNews::Restored(listings),
             (false, true) => ListNews::Complete(listings),
@@ -44,7 +52,7 @@
     }
 
     /// Takes in what the roster says of one upstream, in the module's terms.
-    fn update(&mut self, entry: &Entry) -> Listing {
+    pub(super) fn update(&mut self, entry: &Entry) -> Listing {
         let id = match self.names.get(&entry.host) {
             Some(id) => *id,
             None => {
@@ -69,17 +77,20 @@
             weight: entry.weight,
             started,
         };
+        let acting = self.acting.is_some();
         let server = self.servers.entry(id).or_insert_with(|| Server {
             host: Arc::from(entry.host.as_str()),
             listing: listing.clone(),
             dial: entry.dial,
             started_ms: entry.started_ms,
             life: 0,
+            entry: None,
         });
         // Connections to another address or another life lead nowhere, or to the wrong process.
         if server.dial != entry.dial || server.started_ms != entry.started_ms {
             server.life += 1;
         }
+        server.entry = acting.then(|| Box::new(entry.clone()));
         (server.dial, server.started_ms, server.listing) = (entry.dial, entry.started_ms, listing.clone());
         self.transport.met(id, server.peer());
         listing
@@ -101,9 +112,14 @@
 }
 
 impl Server {
+    /// The name of its zone, where rules may ask for it.
+    fn zone(&self) -> Option<Arc<str>> {
+        self.entry.as_ref().map(|entry| Arc::from(entry.zone.as_str()))
+    }
+
     /// What a transport must know of it.
     fn peer(&self) -> Peer {
         let serving = self.listing.lifecycle == Lifecycle::Serving;
-        Peer { host: self.host.clone(), dial: self.dial, life: self.life, zone: None, serving }
+        Peer { host: self.host.clone(), dial: self.dial, life: self.life, zone: self.zone(), serving }
     }
 }
--- a/crates/node/src/engine/message.rs
+++ b/crates/node/src/engine/message.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Method, StatusCode, Uri};
-use sagemast::api::{Millis, Outcome};
+use sagemast::api::{Millis, Outcome, Reason};
 
 /// Bodies hold at most this much, both ways.
 pub const BODY_BYTES: usize = 64 << 10;
@@ -62,8 +62,8 @@
 pub enum Final {
     /// An upstream's answer.
     Served(HeaderMap, Bytes),
-    /// Trying again is harmless, best after this long.
-    Refused(Millis),
+    /// Trying again is harmless, best after this long; and why.
+    Refused(Millis, Reason),
     /// No promise.
     Failed,
 }
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! the [`Transport`] that carries attempts, and the [`Roster`] that lists come from.
 
 mod attempts;
+mod company;
 mod counters;
 mod intake;
 mod list;
@@ -19,8 +20,8 @@
 use std::time::Duration;
 
 use ::peers::api::Reach;
-use anyhow::Result;
-use listclock::Pace;
+use ::residency::Rules;
+use anyhow::{Context, Result};
 use routes::Table;
 use sagemast::Balancer;
 use sagemast::api::*;
@@ -33,9 +34,11 @@
 use crate::module_settings::module_settings;
 use crate::operator::Capture as CaptureSettings;
 use crate::routing::Routing;
+use company::Acting;
 use counters::Counters;
 use intake::Arrival;
 
+pub use company::{Fleet, Standings};
 pub use intake::{Asked, Intake, Names};
 pub use members::{Losses, Mailbox, Members};
 pub use message::{Answer, BODY_BYTES, End, Final, Forward, end_to_end};
@@ -72,6 +75,8 @@
     Mail,
     /// Discovery is in reach or out of it.
     Reach(Reach),
+    /// Other rules of residency are in force from now on.
+    Ruled(Option<Rules>),
 }
 
 /// The way to an engine, for whoever wires it to its surroundings.
@@ -158,6 +163,11 @@
         let _ = self.0.send(Happening::Rerouted(table));
     }
 
+    /// Lets other rules of residency be in force.
+    pub fn rule(&self, rules: Option<Rules>) {
+        let _ = self.0.send(Happening::Ruled(rules));
+    }
+
     /// Where datagrams of other members wait for the engine, where there are any.
     pub fn mailbox(&self) -> Mailbox {
         Mailbox::new(self.0.clone())
@@ -181,6 +191,7 @@
 /// A request without its final answer.
 struct Open {
     class: ClassId,
+    tenant: TenantId,
     forward: Arc<Forward>,
     who: Arc<str>,
     reply: oneshot::Sender<Final>,
@@ -201,6 +212,8 @@
     dial: SocketAddr,
     started_ms: f64,
     life: u64,
+    /// As the roster told it, where a fleet wants to know.
+    entry: Option<Box<Entry>>,
 }
 
 impl Server {
@@ -219,6 +232,7 @@
     Backstop(RequestId),
     Sweep,
     Report,
+    Company,
 }
 
 /// The engine.
@@ -246,6 +260,8 @@
     actions: Vec<Action>,
     counters: Counters,
     capture: Option<Capture>,
+    /// The fleet that it acts with, if it does.
+    acting: Option<Acting>,
 }
 
 /// What lies behind an engine's seams.
@@ -258,6 +274,8 @@
     pub transport: Box<dyn Transport>,
     /// Where the list comes from.
     pub roster: Box<dyn Roster>,
+    /// What it acts with a fleet by, if it does.
+    pub fleet: Option<Fleet>,
 }
 
 impl Engine {
@@ -272,10 +290,21 @@
         let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let epoch_unix_ms = unix.map_or(0.0, |since| since.as_secs_f64() * 1e3);
         let (told, routing) = module_settings(&settings, table);
+        let setup = |told| concert::Setup {
+            peers: None,
+            residency: None,
+            incarnation: epoch_unix_ms as u64,
+            seed,
+            settings: told,
+            classes: routing.class_names(),
+            tenants: settings.tenant_names(),
+            zones: settings.zone_names().to_vec(),
+        };
         let classes = || routing.names().to_vec();
         let capture =
             capture.map(|capture| Capture::start(capture, classes(), seed, epoch_unix_ms)).transpose()?;
-        let Surroundings { intake, inbox, transport, roster } = surroundings;
+        let Surroundings { intake, inbox, transport, roster, fleet } = surroundings;
+        let acting = fleet.map(|fleet| Acting::start(fleet, setup(&told))).transpose().context("peers")?;
         Ok(Engine {
             module: Balancer::new(told, seed),
             columns: settings.columns(),
@@ -298,12 +327,14 @@
             actions: Vec::new(),
             counters: Counters::default(),
             capture,
+            acting,
             settings,
         })
     }
 
     /// Runs for good.
     pub async fn run(mut self, known: Option<List>) {
+        self.company_woke();
         self.listed(known.unwrap_or_default(), true);
         let serving = self.servers.values().any(|server| server.listing.lifecycle == Lifecycle::Serving);
         self.follow(if serving { Start::Known } else { Start::Empty });
@@ -358,6 +389,7 @@
                     self.capture.iter_mut().for_each(Capture::save);
                     self.set_timer(now + SWEEP, Timer::Sweep);
                 }
+                Timer::Company => self.company_woke(),
                 Timer::Report => {
                     self.report();
                     self.set_timer(now + REPORT, Timer::Report);
@@ -370,11 +402,13 @@
     fn report(&mut self) {
         let counters = std::mem::take(&mut self.counters);
         let connections = self.transport.counts();
-        if !counters.is_idle() {
+        if !counters.is_idle() || self.acting.is_some() {
             let clients = self.intake.connections.len();
             let (open, out, idle) = (self.open.len(), self.sent.len(), self.transport.idle());
             let told = counters.told(&connections, self.routing.names());
-            info!("{told}; now open={open} out={out} clients={clients} idle={idle}");
+            let fleet =
+                self.acting.as_ref().map(|acting| format!("; {}", acting.shown())).unwrap_or_default();
+            info!("{told}; now open={open} out={out} clients={clients} idle={idle}{fleet}");
         }
     }
 
@@ -387,8 +421,11 @@
     fn event_of(&mut self, event: Event, request: Option<&Forward>, why: Option<&'static str>) {
         let now = self.millis(Instant::now());
         let mut actions = std::mem::take(&mut self.actions);
-        let kept = self.capture.is_some().then(|| event.clone());
+        let kept = (self.capture.is_some() || self.acting.is_some()).then(|| event.clone());
         self.module.handle(now, event, &mut actions);
+        if let (Some(acting), Some(event)) = (&self.acting, &kept) {
+            acting.observed(now, event, &actions);
+        }
         if let Some(event) = kept {
             self.keep(now, event, &actions, request, why);
         }
@@ -461,7 +498,9 @@
                 self.follow(Start::Moved(before));
             }
             Happening::Rerouted(table) => self.reroute(table),
-            Happening::Mail | Happening::Reach(_) => {}
+            Happening::Mail => self.mail(),
+            Happening::Reach(reach) => self.reach(reach),
+            Happening::Ruled(rules) => self.other_rules(rules),
             Happening::Dump => match &self.capture {
                 Some(capture) => capture.dump(),
                 None => info!("SIGUSR1: capture is off"),
@@ -478,6 +517,7 @@
             module.put_class(id, class, known);
         }
         module.put_budgets(change.retry_budget, change.copy_budget);
+        self.tell_company(concert::Input::Classes(self.routing.class_names()));
         info!("routes: {} in force, {told} classes of them new or changed", self.routing.count());
         let now = self.millis(Instant::now());
         if let Some(capture) = &mut self.capture {
@@ -497,7 +537,7 @@
         let class = self.routing.class_of(class, kept.target.path(), &kept.headers);
         self.counters.of(class).arrived += 1;
         let lease = Arc::new(());
-        let open = Open { class, forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
+        let open = Open { class, tenant, forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         let repeat = kept.is_repeat();
@@ -528,7 +568,14 @@
                 tally.served += 1;
                 tally.late += u32::from(open.at.elapsed().as_secs_f64() * 1e3 > aim);
             }
-            Final::Refused(_) => tally.refused += 1,
+            Final::Refused(_, reason) => {
+                tally.refused += 1;
+                match reason {
+                    Reason::Overload => {}
+                    Reason::Residency => tally.outside += 1,
+                    Reason::Shed => tally.shed += 1,
+                }
+            }
             Final::Failed => tally.failed += 1,
         }
         if !matches!(answer, Final::Served(..)) {
@@ -547,8 +594,8 @@
                     sent.give_up = None;
                 }
             }
-            Action::Refuse { request, retry_after, .. } => {
-                self.finish(request, Final::Refused(retry_after));
+            Action::Refuse { request, retry_after, reason } => {
+                self.finish(request, Final::Refused(retry_after, reason));
             }
             Action::Fail(request) => {
                 self.finish(request, Final::Failed);
@@ -577,7 +624,12 @@
     fn fmt(&self, f: &mut Formatter<'_>) -> std::fmt::Result {
         let Open { who, forward, at, deadline, trail, .. } = self.open;
         let (id, path) = (forward.id(), forward.target.path());
-        let end = if matches!(self.answer, Final::Failed) { "failed" } else { "refused" };
+        let end = match self.answer {
+            Final::Failed => "failed",
+            Final::Refused(_, Reason::Residency) => "refused (residency)",
+            Final::Refused(_, Reason::Shed) => "refused (shed by the fleet)",
+            Final::Refused(_, Reason::Overload) | Final::Served(..) => "refused",
+        };
         let after = at.elapsed().as_millis();
         let left = deadline.saturating_duration_since(Instant::now()).as_millis();
         let trail = if trail.is_empty() { " no attempt" } else { trail };
--- a/crates/node/src/figures.rs
+++ b/crates/node/src/figures.rs
@@ -2,6 +2,8 @@
 //! StatsD or InfluxDB lines. They are kept in a buffer and handed to every target once in a while; a target that
 //! fails loses its copy and no one else's.
 
+mod fleet;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::fs::OpenOptions;
 use std::io::Write;
@@ -13,9 +15,12 @@
 
 use anyhow::{Context, Result};
 use bytes::Bytes;
+use sagemast::api::Reason;
+use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use tracing::info;
 
+use super::engine::Standings;
 use super::log;
 use super::operator::{Collector, Figures as Settings, Format};
 use super::output::{Output, Share};
@@ -52,6 +57,8 @@
     stderr: Option<Share>,
     file: Option<File>,
     udp: Option<Udp>,
+    /// How this sidecar stands in its fleet, where it acts with one or by rules of residency.
+    fleet: Option<watch::Receiver<Standings>>,
     /// Lines dropped so far, by place.
     dropped: Arc<[AtomicU64; PLACES.len()]>,
 }
@@ -59,6 +66,8 @@
 /// What came together since the last flush.
 struct Collected {
     requests: BTreeMap<(usize, Outcome), u64>,
+    /// Requests refused, by class and reason, where there is a fleet.
+    refused: BTreeMap<(usize, &'static str), u64>,
     in_flight: Vec<u64>,
     lines: Buffer,
     /// What each target has been told of the lines dropped at each place.
@@ -130,6 +139,11 @@
         self.since = at;
     }
 
+    /// It was refused for this reason.
+    pub fn refused(&self, reason: Reason) {
+        self.figures.refused(self.class, reason);
+    }
+
     /// Its answer has this status.
     pub fn answered(mut self, status: u16) {
         self.outcome = Some(status);
@@ -149,7 +163,11 @@
 
 impl Figures {
     /// Opens the targets; needs the log's thread where standard error is one.
-    pub fn start<'a>(settings: Settings, classes: impl Iterator<Item = &'a str>) -> Result<Arc<Figures>> {
+    pub fn start<'a>(
+        settings: Settings,
+        classes: impl Iterator<Item = &'a str>,
+        fleet: Option<watch::Receiver<Standings>>,
+    ) -> Result<Arc<Figures>> {
         let limit = settings.buffer_kb << 10;
         let classes: Vec<String> = classes.chain([REST]).map(|name| label(settings.format, name)).collect();
         let dropped = Arc::new([const { AtomicU64::new(0) }; PLACES.len()]);
@@ -157,6 +175,7 @@
             format: settings.format,
             collected: Mutex::new(Collected {
                 requests: BTreeMap::new(),
+                refused: BTreeMap::new(),
                 in_flight: vec![0; classes.len()],
                 lines: Buffer { bytes: VecDeque::new(), limit, count: 0 },
                 told: Default::default(),
@@ -166,6 +185,7 @@
             stderr: settings.stderr.then(|| log::share(2 * limit)).flatten(),
             file: settings.file.map(|path| File::start(&path, 2 * limit, &dropped)).transpose()?,
             udp: settings.udp.map(Udp::new),
+            fleet,
             dropped,
         });
         Ok(figures)
@@ -249,6 +269,7 @@
             };
             self.put(collected, &line);
         }
+        self.put_fleet(collected, now);
         for (number, class) in self.classes.iter().enumerate() {
             let value = collected.in_flight[number];
             let line = match self.format {
@@ -462,7 +483,7 @@
 
     fn start(settings: Settings) -> Arc<Figures> {
         let classes = ["statement-issue", "a b,c=d|e\\"];
-        Figures::start(Settings { stderr: false, ..settings }, classes.into_iter()).expect("it starts")
+        Figures::start(Settings { stderr: false, ..settings }, classes.into_iter(), None).expect("it starts")
     }
 
     /// All lines that are due, for a target that knows of no drops yet.
--- a/crates/node/src/fronts/http/mod.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -268,6 +268,9 @@
             let mut in_flight = front.begin(request.uri());
             let mut response = handle(request, &front, &who, shown, by, &mut in_flight).await;
             if let Some(in_flight) = in_flight {
+                if let Some(reason) = response.extensions().get() {
+                    in_flight.refused(*reason);
+                }
                 in_flight.answered(response.status().as_u16());
             }
             if crowded || *front.phase.borrow() > Phase::Open {
@@ -385,8 +388,14 @@
             *response.headers_mut() = headers;
             response
         }
-        Final::Refused(retry_after) => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
+        Final::Refused(retry_after, reason) => {
+            let text = match reason {
+                Reason::Overload => "refused",
+                Reason::Residency => "refused: no server serves where it may go",
+                Reason::Shed => "refused: the fleet sheds its class",
+            };
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, text);
+            response.extensions_mut().insert(reason);
             let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after / 1_000.0));
             if let (Ok(seconds), true) = (seconds, retry_after > 0.0) {
                 response.headers_mut().insert(header::RETRY_AFTER, seconds);
--- a/crates/node/src/operator.rs
+++ b/crates/node/src/operator.rs
@@ -2,6 +2,7 @@
 //! does not name is off.
 
 mod peers;
+mod residency;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,6 +16,7 @@
 use serde::{Deserialize, Deserializer};
 
 pub use peers::{MEMBER, Peers};
+pub use residency::Facts;
 
 /// The operators' file, a section a feature.
 #[derive(Deserialize, JsonSchema, Default, Debug)]
@@ -39,6 +41,8 @@
     pub routes: Option<IgnoredAny>,
     /// A fleet that acts together.
     pub peers: Option<Peers>,
+    /// Where requests may go, by class, route and tenant.
+    pub residency: Option<::residency::Section>,
 }
 
 /// Settings of the address lists.
--- a/crates/node/src/routing.rs
+++ b/crates/node/src/routing.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 
+use concert::ClassNames;
 use hyper::HeaderMap;
 use routes::Table;
 use routes::policy::{Budget, Effect, Platform, PlatformClass};
@@ -119,6 +120,21 @@
         found.and_then(|place| self.ids.get(&(place, class.0))).copied().unwrap_or(class)
     }
 
+    /// The same as those who rule by class and route name them.
+    pub fn class_names(&self) -> Vec<ClassNames> {
+        let own = &self.platform.classes;
+        let named = |(place, name): (usize, &String)| {
+            // The name of a class is a segment of a path: the first slash ends it.
+            let (class, route) = match name.split_once('/') {
+                Some((class, route)) if place >= own.len() => (class, Some(route.to_owned())),
+                _ => (name.as_str(), None),
+            };
+            let base = own.iter().position(|own| own.name == class).unwrap_or(place);
+            ClassNames { base: ClassId(base), class: class.to_owned(), route }
+        };
+        self.names.iter().enumerate().map(named).collect()
+    }
+
     /// How many routes there are.
     pub fn count(&self) -> usize {
         self.table.routes.len()
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -223,6 +223,11 @@
         self.tenants.iter().map(|tenant| tenant.name.clone()).collect()
     }
 
+    /// Names of the zones that the settings name, by their numbers.
+    pub fn zone_names(&self) -> &[String] {
+        &self.azs
+    }
+
     /// The number of a zone. One that the settings do not name gets a number that no other has.
     pub fn zone_named(&self, name: &str) -> u64 {
         number_of(&self.azs, name)
