--- a/crates/harelock/tests/fleet/links.rs
+++ b/crates/harelock/tests/fleet/links.rs
@@ -46,7 +46,9 @@
             passed: AtomicU64::new(0),
         });
         for from in 0..members {
-            (0..members).filter(|to| *to != from).for_each(|to| drop(on.spawn(links.clone().carry(from, to))));
+            (0..members)
+                .filter(|to| *to != from)
+                .for_each(|to| drop(on.spawn(links.clone().carry(from, to))));
         }
         links
     }
--- a/crates/harelock/tests/fleet/mod.rs
+++ b/crates/harelock/tests/fleet/mod.rs
@@ -65,7 +65,12 @@
 
 impl Member {
     /// Starts a process and waits until it listens.
-    fn start(name: &str, region: &'static str, config: &std::path::Path, operator: &std::path::Path) -> Member {
+    fn start(
+        name: &str,
+        region: &'static str,
+        config: &std::path::Path,
+        operator: &std::path::Path,
+    ) -> Member {
         let mut child = Command::new(env!("CARGO_BIN_EXE_harelock"))
             .arg("--operator")
             .arg(operator)
@@ -225,7 +230,8 @@
         let fleet = Fleet { members, links, discovery, doors, servers, on, shape, _end: end };
         let all = fleet.members.len();
         fleet.wait("all members know each other", || {
-            let knows = |member: &Member| member.latest("fleet_living").is_some_and(|living| living as usize == all);
+            let knows =
+                |member: &Member| member.latest("fleet_living").is_some_and(|living| living as usize == all);
             fleet.members.iter().all(knows)
         });
         fleet
--- a/crates/harelock/tests/fleet/stage.rs
+++ b/crates/harelock/tests/fleet/stage.rs
@@ -30,7 +30,8 @@
 }
 
 fn header<'h>(headers: &'h str, name: &str) -> Option<&'h str> {
-    let of = |line: &'h str| line.split_once(':').filter(|(own, _)| *own == name).map(|(_, value)| value.trim());
+    let of =
+        |line: &'h str| line.split_once(':').filter(|(own, _)| *own == name).map(|(_, value)| value.trim());
     headers.lines().find_map(of)
 }
 
--- a/crates/peers/src/overload/tests.rs
+++ b/crates/peers/src/overload/tests.rs
@@ -102,11 +102,13 @@
                 let repeats = self.drawn(first * 0.5 * self.refused_before);
                 let came = first_tries + repeats;
                 let chance = self.guidance[member].admit.get(class).copied().unwrap_or(1.0);
-                let_in[member][class] = (0..came).filter(|_| self.rng.random::<f64>() < chance).count() as u32;
+                let_in[member][class] =
+                    (0..came).filter(|_| self.rng.random::<f64>() < chance).count() as u32;
                 let lost = if class == 0 { 1.0 - self.lost_class } else { 1.0 };
                 work += f64::from(let_in[member][class]) * time * lost;
                 let service_ms = time * self.shape[member][1];
-                counts[member][class] = ClassCounts { first_tries, repeats, service_ms, ..Default::default() };
+                counts[member][class] =
+                    ClassCounts { first_tries, repeats, service_ms, ..Default::default() };
             }
         }
         let busy = work / (self.capacity * count as f64 * seconds);
@@ -161,7 +163,12 @@
             self.guidance[member] = guidance;
         }
         for member in 0..self.hostile {
-            let lies = ClassCounts { first_tries: u32::MAX, refused: u32::MAX, held: u32::MAX, ..Default::default() };
+            let lies = ClassCounts {
+                first_tries: u32::MAX,
+                refused: u32::MAX,
+                held: u32::MAX,
+                ..Default::default()
+            };
             let mut liar = Own::default();
             liar.count(self.now, &[ClassCounts { service_ms: 1e9, ..lies }; 3], &[], 1);
             let word = Word { level: 1.0, wants: 1.0, capacity: Some(0.01) };
@@ -190,7 +197,8 @@
             let mut fleet = Fleet::new(members, 7);
             (0..25).for_each(|_| fleet.period(0.7));
             let mut line = String::new();
-            let (mut spread, mut served, mut came, mut worst): (f64, _, _, f64) = (0.0, [0.0; 3], [0.0; 3], 0.0);
+            let (mut spread, mut served, mut came, mut worst): (f64, _, _, f64) =
+                (0.0, [0.0; 3], [0.0; 3], 0.0);
             for step in 0..100 {
                 fleet.period(load);
                 line += &format!("{:.2}/{:.3} ", fleet.mean(), fleet.spread());
@@ -210,11 +218,23 @@
             }
             let worth: f64 = (0..3).map(|c| served[c] * CLASSES[c].0).sum::<f64>();
             let mut room = fleet.capacity * 0.2 * f64::from(members) * 60.0;
-            let oracle: f64 = (0..3).map(|c| { let n = (room / CLASSES[c].1).min(came[c]); room -= n * CLASSES[c].1; n * CLASSES[c].0 }).sum();
+            let oracle: f64 = (0..3)
+                .map(|c| {
+                    let n = (room / CLASSES[c].1).min(came[c]);
+                    room -= n * CLASSES[c].1;
+                    n * CLASSES[c].0
+                })
+                .sum();
             println!("oracle {:.3}", worth / oracle);
-            println!("{members} {load}: spread {spread:.3} retries {worst:.3} served {:?} of {:?} worth {worth:.0} {:?}\n{line}",
-             served, came, (0..3).map(|c| served[c] / came[c]).collect::<Vec<_>>());
-            for m in &mut fleet.members[..1] { println!("{:?}", m.note()); }
+            println!(
+                "{members} {load}: spread {spread:.3} retries {worst:.3} served {:?} of {:?} worth {worth:.0} {:?}\n{line}",
+                served,
+                came,
+                (0..3).map(|c| served[c] / came[c]).collect::<Vec<_>>()
+            );
+            for m in &mut fleet.members[..1] {
+                println!("{:?}", m.note());
+            }
         }
     }
 }
