--- a/crates/residency/src/keeper.rs
+++ b/crates/residency/src/keeper.rs
@@ -7,90 +7,17 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::binding::{Binding, Verdict};
 use crate::codec::{
     Digest, Head, PIECES, head_body, piece_bodies, pieces_of, read, read_head, read_piece, write,
 };
-use crate::content::{Content, Filter, key_of, mix, zone_key};
+use crate::content::{Content, Filter, mix};
 use crate::names::Service;
 use crate::rules::Rules;
 
 /// The key of a head's fact; pieces have those from 1 on.
 const HEAD: u64 = 0;
 
-/// What may be done with a request towards a zone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// It may be sent there.
-    Allowed,
-    /// Its rules forbid that.
-    Outside,
-    /// Rules that bind it are known of and not yet here: nothing of it may be sent at all.
-    Waiting {
-        /// The generation that is waited for; 0 while a new process listens for any.
-        generation: u64,
-    },
-}
-
-/// Where a service's requests may go now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Stand<'b> {
-    /// Anywhere: no rule is for it.
-    Free,
-    /// To zones with these keys ([`zone_key`]).
-    Within(&'b BTreeSet<u64>),
-    /// Nowhere, until the rules of this generation are here; 0 while a new process listens for any.
-    Waiting(u64),
-}
-
-impl Stand<'_> {
-    /// The verdict for a zone.
-    pub fn verdict(self, zone: &str) -> Verdict {
-        match self {
-            Stand::Free => Verdict::Allowed,
-            Stand::Within(zones) if zones.contains(&zone_key(zone)) => Verdict::Allowed,
-            Stand::Within(_) => Verdict::Outside,
-            Stand::Waiting(generation) => Verdict::Waiting { generation },
-        }
-    }
-}
-
-/// What binds now.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Binding {
-    version: u64,
-    generation: u64,
-    content: Arc<Content>,
-    /// A newer generation, or another content of this, that was heard of, and the services that it may be for.
-    awaited: Option<(u64, Filter)>,
-    /// Whether a new process still listens for what others hold.
-    listening: bool,
-}
-
-static NOWHERE: BTreeSet<u64> = BTreeSet::new();
-
-impl Binding {
-    /// A number that changes only when something here does.
-    pub fn version(&self) -> u64 {
-        self.version
-    }
-
-    /// Where a service's requests may go.
-    pub fn of(&self, service: &Service) -> Stand<'_> {
-        self.of_key(key_of(service))
-    }
-
-    /// The same by the service's key.
-    pub fn of_key(&self, service: u64) -> Stand<'_> {
-        let ruled = self.content.services.get(&service);
-        match self.awaited {
-            Some((generation, concerned)) if concerned.may_hold(service) => Stand::Waiting(generation),
-            _ if self.listening && ruled.is_some() => Stand::Waiting(0),
-            _ if self.content.closed => Stand::Within(&NOWHERE),
-            _ => ruled.map_or(Stand::Free, Stand::Within),
-        }
-    }
-}
-
 /// How long a new process listens where nobody is heard.
 pub const LISTEN_MS: u64 = 1_000;
 
@@ -137,7 +64,7 @@
     differs: Filter,
     /// Contents of this generation that the present one is the join of, among others.
     joined: BTreeSet<Digest>,
-    /// Of one generation, the newest that was heard of, which is not older than what is held.
+    /// Heard of and not here yet, none older than what is held.
     awaited: BTreeMap<Digest, Awaited>,
     /// A generation of which more contents were heard of than are kept apart.
     flooded: Option<u64>,
@@ -287,6 +214,11 @@
         self.generation
     }
 
+    /// What is held, by keys, whatever is waited for.
+    pub fn content(&self) -> &Content {
+        &self.content
+    }
+
     /// The generation that is waited for, which may be the held one in another form.
     pub fn awaits(&self) -> Option<u64> {
         self.binding.awaited.map(|(generation, _)| generation)
@@ -361,21 +293,19 @@
         if head.generation < self.generation {
             return;
         }
-        let newest = self.awaited.values().map(|awaited| awaited.head.generation).chain(self.flooded).max();
-        if newest.is_some_and(|newest| head.generation < newest) {
-            return;
-        }
-        if newest.is_some_and(|newest| head.generation > newest) {
-            (self.awaited, self.flooded) = (BTreeMap::new(), None);
-        }
-        // In one life the rules of a generation only tighten: who has the later ones needs no earlier ones.
+        // In one life the rules of a generation only tighten, so that what a member held before, or at a lower step, is
+        // part of what it holds now. Who has the later ones needs no earlier ones.
         let claim = (owner, head.life);
-        let step_of = |awaited: &Awaited| awaited.claims.get(&claim).copied();
+        let step_of = |awaited: &Awaited| {
+            awaited.claims.get(&claim).copied().filter(|_| awaited.head.generation == head.generation)
+        };
         if self.awaited.values().filter_map(step_of).any(|step| step > head.step) {
             return;
         }
         self.awaited.retain(|digest, awaited| {
-            *digest == head.digest || step_of(awaited).is_none_or(|step| step >= head.step)
+            let later = *digest == head.before && awaited.head.generation == head.generation
+                || step_of(awaited).is_some_and(|step| step < head.step);
+            *digest == head.digest || !later
         });
         if head.generation == self.generation && self.joined.contains(&head.digest) {
             return;
@@ -384,21 +314,12 @@
             if awaited.claims.len() < CLAIMS_MOST || awaited.claims.contains_key(&claim) {
                 awaited.claims.insert(claim, head.step);
             }
-        } else if self.awaited.len() >= AWAITED_MOST {
-            if self.flooded.replace(head.generation).is_none() {
-                let generation = head.generation;
-                self.note(format!(
-                    "residency: more than {AWAITED_MOST} different rules under generation {generation}: all services \
-                     wait for a newer one"
-                ));
-            }
-        } else {
+        } else if self.has_room(head.generation) {
             let (generation, digest, step) = (head.generation, head.digest, head.step);
-            if newest.is_none_or(|newest| newest < generation) {
+            if self.newest_awaited().is_none_or(|newest| newest < generation) {
+                let held = self.generation;
                 self.note(format!(
-                    "residency: member {owner} has rules of generation {generation}, here is {}: what they are for \
-                     waits",
-                    self.generation
+                    "residency: member {owner} has rules of generation {generation}, here is {held}: what they are for waits"
                 ));
             }
             self.awaited.insert(digest, Awaited { head, claims: BTreeMap::from([(claim, step)]) });
@@ -409,6 +330,36 @@
         }
     }
 
+    /// The newest generation that was heard of and is not held, or not in all its forms. It alone says what waits; older
+    /// ones are taken over when they come, so that members agree on them meanwhile.
+    fn newest_awaited(&self) -> Option<u64> {
+        self.awaited.values().map(|awaited| awaited.head.generation).chain(self.flooded).max()
+    }
+
+    /// Makes room for one more content of a generation, at the cost of older ones.
+    fn has_room(&mut self, generation: u64) -> bool {
+        if self.awaited.len() < AWAITED_MOST {
+            return true;
+        }
+        let oldest = self.awaited.iter().min_by_key(|(_, awaited)| awaited.head.generation);
+        match oldest.map(|(digest, awaited)| (*digest, awaited.head.generation)) {
+            Some((digest, oldest)) if oldest < generation => {
+                self.awaited.remove(&digest);
+                true
+            }
+            _ if self.newest_awaited() == Some(generation) => {
+                if self.flooded.replace(generation) != Some(generation) {
+                    self.note(format!(
+                        "residency: more than {AWAITED_MOST} different rules under generation {generation}: all \
+                         services wait for a newer one"
+                    ));
+                }
+                false
+            }
+            _ => false,
+        }
+    }
+
     /// A member tells a piece of the rules that it holds.
     fn piece(&mut self, owner: u16, key: u64, body: &[u8]) {
         let Some((digest, bytes)) = read_piece(body).filter(|_| key <= HEAD + PIECES as u64) else {
@@ -483,13 +434,12 @@
             let Head { before, ruled, differs, .. } = awaited.head;
             if before == self.digest { ruled.and(differs) } else { ruled }
         };
-        let awaited = match self.flooded {
-            Some(generation) => Some((generation, Filter::ALL)),
-            None => self.awaited.values().next().map(|first| {
-                let all = self.awaited.values().map(concerned).fold(Filter::NONE, Filter::or);
-                (first.head.generation, all)
-            }),
-        };
+        let newest = self.newest_awaited();
+        let awaited = newest.map(|newest| {
+            let of_newest = self.awaited.values().filter(|awaited| awaited.head.generation == newest);
+            let all = of_newest.map(concerned).fold(Filter::NONE, Filter::or);
+            (newest, if self.flooded == newest.into() { Filter::ALL } else { all })
+        });
         let bound = Binding {
             version: self.binding.version,
             generation: self.generation,
