--- a/crates/node/src/engine/company.rs
+++ b/crates/node/src/engine/company.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ::peers::api::{Asking, Entry as Told, Reach, Standing};
+use ::peers::coordinator::Role;
 use ::residency::Rules;
 use concert::{Company, Input, Output, View};
 use listclock::Pace;
@@ -49,6 +50,9 @@
             figures.extend([
                 ("living", peers.living as f64),
                 ("level", peers.level),
+                ("coordinates", f64::from(u8::from(peers.role == Role::Coordinates))),
+                ("term", peers.term.number as f64),
+                ("words_refused", peers.refused_words as f64),
                 ("datagrams_in", peers.datagrams_in as f64),
                 ("datagrams_out", peers.datagrams_out as f64),
                 ("datagrams_refused", (peers.refused_datagrams + losses.strangers) as f64),
@@ -70,7 +74,15 @@
         if let Some(peers) = &view.peers {
             let Losses { unheard, strangers, unsent, failed } = losses;
             let (living, members, level) = (peers.living, peers.members, peers.level);
+            let role = match peers.role {
+                Role::Alone => "alone",
+                Role::Follows => "follows",
+                Role::Stands => "stands",
+                Role::Coordinates => "coordinates",
+            };
+            let (term, refused) = (peers.term.number, peers.refused_words);
             words.push(format!("fleet living={living}/{members} level={level:.2}"));
+            words.push(format!("role={role} term={term} words_refused={refused}"));
             words.push(format!("datagrams in={} out={}", peers.datagrams_in, peers.datagrams_out));
             words.push(format!("refused={} strangers={strangers}", peers.refused_datagrams));
             words.push(format!("unheard={unheard} unsent={unsent} failed={failed}"));
