--- a/crates/node/src/engine/members.rs
+++ b/crates/node/src/engine/members.rs
@@ -12,6 +12,9 @@
 /// Datagrams that wait for the engine at most: a second of what a member hears in the largest fleets.
 const WAITING: usize = 512;
 
+/// Whom it is from or to, and what it holds.
+pub type Datagram = (SocketAddr, Vec<u8>);
+
 /// What became of datagrams since the start.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Losses {
@@ -36,7 +39,7 @@
 /// Where datagrams wait for the engine.
 #[derive(Clone)]
 pub struct Mailbox {
-    waiting: Arc<Mutex<VecDeque<(SocketAddr, Vec<u8>)>>>,
+    waiting: Arc<Mutex<VecDeque<Datagram>>>,
     happenings: mpsc::UnboundedSender<Happening>,
 }
 
@@ -61,12 +64,12 @@
     }
 
     /// All that waits.
-    pub(super) fn take(&self) -> VecDeque<(SocketAddr, Vec<u8>)> {
+    pub(super) fn take(&self) -> VecDeque<Datagram> {
         std::mem::take(&mut *self.waiting())
     }
 
     /// Held for moments only, never over a wait.
-    fn waiting(&self) -> MutexGuard<'_, VecDeque<(SocketAddr, Vec<u8>)>> {
+    fn waiting(&self) -> MutexGuard<'_, VecDeque<Datagram>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/node/src/peers/mod.rs
+++ b/crates/node/src/peers/mod.rs
@@ -12,7 +12,7 @@
 use tokio::sync::Notify;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::engine::{Losses, Mailbox, Members};
+use crate::engine::{Datagram, Losses, Mailbox, Members};
 
 /// Datagrams that wait to be sent at most: several periods' worth.
 const WAITING: usize = 512;
@@ -27,7 +27,7 @@
 struct Shared {
     /// Who is listened to. Whatever a datagram says, it came from a member's address.
     members: HashSet<SocketAddr>,
-    waiting: Mutex<VecDeque<(SocketAddr, Vec<u8>)>>,
+    waiting: Mutex<VecDeque<Datagram>>,
     filled: Notify,
     mailbox: Mailbox,
     unheard: AtomicU64,
@@ -95,7 +95,7 @@
 
 impl Shared {
     /// Held for moments only, never over a wait.
-    fn waiting(&self) -> MutexGuard<'_, VecDeque<(SocketAddr, Vec<u8>)>> {
+    fn waiting(&self) -> MutexGuard<'_, VecDeque<Datagram>> {
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
