--- a/crates/harelock/tests/command_line.rs
+++ b/crates/harelock/tests/command_line.rs
@@ -133,6 +133,62 @@
     let schema: serde_json::Value = serde_json::from_str(&out).expect("JSON");
     let sections: Vec<&str> =
         schema["properties"].as_object().expect("keys").keys().map(String::as_str).collect();
-    assert_eq!(sections, ["address_lists", "capture", "figures", "routes", "tls"]);
+    assert_eq!(sections, ["address_lists", "capture", "figures", "peers", "residency", "routes", "tls"]);
     assert_eq!(schema["additionalProperties"], false);
 }
+
+/// The platform of the section `residency`: zones and tenants have names.
+fn zoned() -> String {
+    CONFIG.replace(r#""peers_total":3"#, r#""peers_total":3,"azs":["z1","z2"],"tenants":[{"name":"acme"}]"#)
+}
+
+const RULED: &str = r#"{
+  "peers": {"members": [
+    {"name": "s1", "address": "10.0.0.1:7946", "region": "west", "zone": "z1"},
+    {"name": "s2", "address": "10.0.0.2:7946", "region": "east", "zone": "z2"}]},
+  "residency": {"generation": 7, "regions": {"west": ["z1"], "east": ["z2"]},
+    "rules": [{"class": "statement-issue", "regions": ["west"]}]}
+}"#;
+
+#[test]
+fn rules_of_residency_are_checked_and_explained() {
+    let files = Files::new();
+    let config = files.file("config.json", &zoned());
+    let sound = files.file("operator.json", RULED);
+    let (code, out, _) = harelock(&["check", &sound, "--config", &config]);
+    assert!(code == Some(0) && out.contains("sound") && out.contains("generation 7"), "{out}");
+    let (code, _, errors) = harelock(&["check", &sound]);
+    assert!(code == Some(2) && errors.contains("--config"), "zones are the platform's: {errors}");
+    let explain =
+        |path: &str| harelock(&["explain", "--operator", &sound, "--config", &config, "POST", path]).1;
+    let ruled = explain("/statement-issue");
+    assert!(ruled.contains("keeps it in west: zones z1"), "{ruled}");
+    assert!(explain("/contribution-post").contains("no rule is for it"));
+    for (from, to, path) in [
+        (r#""regions": ["west"]}]"#, r#""regions": ["north"]}]"#, "residency.rules[0].regions[0]"),
+        (r#""class": "statement-issue""#, r#""class": "statements""#, "residency.rules[0].class"),
+        (r#""west": ["z1"]"#, r#""west": ["z9"]"#, "residency.regions"),
+        (r#""zone": "z1""#, r#""zone": "z2""#, "peers.members[0].zone"),
+    ] {
+        let text = RULED.replace(from, to);
+        assert_ne!(text, RULED, "{from}");
+        let bad = files.file("bad.json", &text);
+        let (code, out, _) = harelock(&["check", &bad, "--config", &config, "--json"]);
+        assert!(code == Some(2) && out.contains(&format!(r#""path":"{path}"#)), "{to}: {out}");
+        assert!(out.contains(r#""rule":"residency""#), "{out}");
+    }
+    let bad = files.file("bad.json", &RULED.replace("10.0.0.2", "10.0.0.1"));
+    let (code, out, _) = harelock(&["check", &bad, "--config", &config]);
+    assert!(code == Some(2) && out.contains("peers.members[1].address"), "{out}");
+}
+
+#[test]
+fn the_schema_shows_both_sections_of_a_fleet() {
+    let (code, out, _) = harelock(&["schema"]);
+    let schema: serde_json::Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!(code, Some(0));
+    for section in ["peers", "residency"] {
+        assert!(schema["properties"][section].is_object(), "{section}");
+    }
+    assert!(out.contains("HARELOCK_MEMBER") && out.contains("election_ms") && out.contains("generation"));
+}
--- a/crates/harelock/tests/fleet_faults.rs
+++ b/crates/harelock/tests/fleet_faults.rs
@@ -304,3 +304,36 @@
         )
     );
 }
+
+/// Where the platform forbids messages between sidecars, the section opens no socket, and one line says so; a section
+/// that cannot work stops the start, and one that changes later is told to need a new one.
+#[test]
+fn the_platform_has_the_last_word_on_peers() {
+    use loopback::{Deed, Sidecar, Upstream, config, ready, until};
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let known = ready(&[&upstream]);
+    let discovery = loopback::Discovery::new(&known);
+    let members = r#""members":[{"name":"s1","address":"127.0.0.1:7946","region":"r","zone":"east"}]"#;
+    let section = format!(r#"{{"peers":{{"me":"s1",{members},"bind":"127.0.0.1:0"}}}}"#);
+    let allowed = loopback::SETTINGS.replace(r#""allowed":{"#, r#""allowed":{"peers":true,"#);
+    for (settings, opens) in [(loopback::SETTINGS, false), (&allowed, true)] {
+        let text = config("127.0.0.1:0", discovery.address, &known, 1024, settings);
+        let (sidecar, file) = Sidecar::operated_by(&text, &section);
+        sidecar.wait_up();
+        assert_eq!(sidecar.count(&["peers: s1 on 127.0.0.1:"]), usize::from(opens));
+        assert_eq!(sidecar.count(&["peers: off", "allowed.peers"]), usize::from(!opens));
+        assert_eq!(loopback::Client::to(sidecar.address).ask("fetch").status(), 200);
+        std::fs::write(&file, section.replace("7946", "7947")).unwrap();
+        sidecar.signal("-HUP");
+        until("a change is told", || sidecar.has_said(&["peers stay as they were at the start"]));
+    }
+    let stranger = section.replace(r#""me":"s1""#, r#""me":"s2""#);
+    let text = config("127.0.0.1:0", discovery.address, &known, 1024, &allowed);
+    let mut refused = loopback::spawn_operated(&text, &stranger);
+    let mut status = None;
+    until("it ends", || {
+        status = refused.try_wait().unwrap();
+        status.is_some()
+    });
+    assert_eq!(status.and_then(|status| status.code()), Some(1));
+}
--- a/crates/node/src/figures/fleet.rs
+++ b/crates/node/src/figures/fleet.rs
@@ -45,3 +45,49 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::time::Duration;
+
+    use concert::View;
+    use tokio::sync::watch;
+
+    use super::*;
+    use crate::engine::Standings;
+    use crate::operator::Figures as Settings;
+
+    /// The lines of a flush, as far as they are of a fleet.
+    fn lines(format: Format, fleet: Option<watch::Receiver<Standings>>) -> Vec<String> {
+        let settings = Settings { format, stderr: false, ..Settings::default() };
+        let figures = Figures::start(settings, ["bill"].into_iter(), fleet).expect("it starts");
+        let in_flight = figures.begin(Some(0));
+        in_flight.refused(Reason::Residency);
+        in_flight.answered(503);
+        let mut collected = figures.collected();
+        figures.count(&mut collected, 0, Some(503), Duration::ZERO, 7);
+        figures.put_fleet(&mut collected, 7);
+        let (bytes, _) = collected.lines.take();
+        let text = String::from_utf8(bytes).expect("text");
+        text.lines().filter(|line| !line.contains("answer")).map(str::to_owned).collect()
+    }
+
+    #[test]
+    fn a_refusal_has_its_reason_and_without_a_fleet_there_is_no_line() {
+        let view = View { generation: Some(7), writes_refused: 2, ..View::default() };
+        let (_told, fleet) = watch::channel(Standings { view, ..Standings::default() });
+        assert_eq!(
+            lines(Format::Statsd, Some(fleet.clone())),
+            [
+                "harelock.refused:1|c|#class:bill,reason:residency",
+                "harelock.fleet_rules:7|g",
+                "harelock.fleet_writes_refused:2|g"
+            ]
+        );
+        assert_eq!(
+            lines(Format::Influx, Some(fleet))[..2],
+            ["harelock_refused,class=bill,reason=residency count=1i 7", "harelock_fleet_rules value=7 7"]
+        );
+        assert_eq!(lines(Format::Statsd, None), Vec::<String>::new());
+    }
+}
--- a/crates/node/tests/seams.rs
+++ b/crates/node/tests/seams.rs
@@ -32,14 +32,18 @@
 }
 
 #[test]
-fn fronts_transports_and_rosters_know_the_engine_and_not_each_other() {
+fn fronts_transports_rosters_and_peers_know_the_engine_and_not_each_other() {
     forbids("fronts", &["transports", "rosters", "replay", "config"]);
     forbids("transports", &["fronts", "rosters", "replay", "config", "figures", "capture"]);
-    forbids("rosters", &["fronts", "transports", "replay", "config", "figures", "capture"]);
+    forbids("rosters", &["fronts", "transports", "peers", "replay", "config", "figures", "capture"]);
+    forbids(
+        "peers",
+        &["fronts", "transports", "rosters", "replay", "config", "figures", "capture", "operator"],
+    );
 }
 
 #[test]
 fn the_engine_knows_nothing_of_what_lies_behind_its_seams() {
-    forbids("engine", &["fronts", "transports", "rosters", "replay", "config", "figures"]);
+    forbids("engine", &["fronts", "transports", "rosters", "peers", "replay", "config", "figures"]);
     forbids("capture", &["engine", "fronts", "transports", "rosters", "config"]);
 }
