--- a/crates/harelock/tests/fleet_faults.rs
+++ b/crates/harelock/tests/fleet_faults.rs
@@ -78,8 +78,8 @@
     let second = fleet.coordinator(&others);
     assert_ne!(first, second);
     // It is woken while the second is in office.
-    fleet.members[first].signal("-CONT");
     let woken = Instant::now();
+    fleet.members[first].signal("-CONT");
     fleet.wait("the first knows", || fleet.members[first].has_said(&["coordinator no more"], woken));
     fleet.never_two("east", &[(first, stopped, woken)]);
     fleet.wait("it follows the second", || {
