--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,10 +10,14 @@
 //! configured members only, and it never adds a server that no list named.
 
 pub mod api;
+pub mod coordinator;
 pub mod facts;
 pub mod leases;
+pub mod lists;
 pub mod membership;
+pub mod overload;
 mod peer;
+pub mod rendezvous;
 pub mod wire;
 
 pub use api::{Input, Output};
--- a/crates/peers/src/peer.rs
+++ b/crates/peers/src/peer.rs
@@ -1,24 +1,83 @@
-//! One member: what comes in is handed to its parts, and what they want is sent.
+//! One member: what comes in is handed to its parts, what they tell each other goes through here, and what they want is
+//! sent.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::sync::Arc;
 
-use crate::api::{Config, Input, Millis, Output};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::api::{
+    Config, Fact, FactKind, Guidance, Input, Known, Millis, Output, Reach, ServerKey, Standing,
+};
+use crate::coordinator::{self, Coordinator, Role, Term};
+use crate::facts::{Facts, News};
+use crate::leases::{Bound, Ledger};
+use crate::membership::Membership;
+use crate::overload::{self, Overload};
+use crate::wire::{self, HIGHEST_INCARNATION, Head, Kind, Outbox};
+
+/// What this member saw of a server is taken back when it was not seen again for so many leases.
+const SEEN_LEASES: u64 = 10;
+
+/// A trial that another member told of counts for so many periods.
+const TRIAL_PERIODS: u64 = 25;
+
+/// How many former selves of members are told in a period that they are.
+const OUTDATED_TOLD: u8 = 4;
 
 /// One member of the fleet.
 #[derive(Debug)]
 pub struct Peer {
-    config: Config,
+    config: Arc<Config>,
+    digest: [u8; 4],
+    incarnation: u64,
+    rng: Pcg64Mcg,
+    membership: Membership,
+    facts: Facts,
+    ledger: Ledger,
+    coordinator: Coordinator,
+    overload: Overload,
+    /// How discovery looks from here, as was told last.
+    reach: Option<Reach>,
+    /// The servers that were told last, if any were.
+    servers: Option<Vec<Known>>,
+    /// What this member saw of servers, and when last.
+    seen: BTreeMap<ServerKey, (Standing, Millis)>,
+    /// When the next period begins, when the coordinator wants to be woken, and the wake that was asked for last.
+    period: Millis,
+    wakes: BTreeSet<Millis>,
+    asked: Option<Millis>,
+    /// How many former selves may still be told so in this period, and when this one was.
+    outdated: u8,
+    renewed: Option<Millis>,
+    datagrams_in: u64,
+    datagrams_out: u64,
+    bytes_in: u64,
+    bytes_out: u64,
+    refused_datagrams: u64,
 }
 
 /// Figures of a member, for its operators.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct View {
     /// Members that live, this one included.
     pub living: usize,
     /// Members that are configured.
     pub members: usize,
+    /// What this member is in its region.
+    pub role: Role,
+    /// The highest term it knows of.
+    pub term: Term,
     /// The level of shedding, 0 to 1.
     pub level: f64,
+    /// Words and renewals of older terms that were refused.
+    pub refused_words: u64,
+    /// Facts that were refused: of nobody configured, too many, absurd.
+    pub refused_facts: u64,
+    /// Facts that are held.
+    pub facts: usize,
     /// Datagrams that were accepted.
     pub datagrams_in: u64,
     /// Datagrams that were sent.
@@ -27,7 +86,8 @@
     pub bytes_in: u64,
     /// Bytes that were sent.
     pub bytes_out: u64,
-    /// Datagrams that were dropped: malformed, of another fleet, of nobody known, or of a former self of a member.
+    /// Datagrams that were dropped, or parts of them: malformed, of another fleet, not from where their sender is
+    /// configured, or of a former self of a member.
     pub refused_datagrams: u64,
 }
 
@@ -44,16 +104,493 @@
 impl std::error::Error for ConfigError {}
 
 impl Peer {
-    /// A member whose process started now.
-    pub fn new(config: Config, _now: Millis, _incarnation: u64, _seed: u64) -> Result<Peer, ConfigError> {
-        Ok(Peer { config })
+    /// A member whose process started now. The incarnation is higher than that of any former process of this member,
+    /// such as the Unix time of the start in milliseconds.
+    pub fn new(config: Config, now: Millis, incarnation: u64, seed: u64) -> Result<Peer, ConfigError> {
+        check(&config)?;
+        if incarnation > HIGHEST_INCARNATION {
+            return Err(ConfigError(format!(
+                "an incarnation of {incarnation} is above {HIGHEST_INCARNATION}"
+            )));
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let config = Arc::new(config);
+        let first = rng.random_range(0..config.timing.period);
+        Ok(Peer {
+            digest: wire::digest(&config),
+            incarnation,
+            membership: Membership::new(&config, incarnation, rng.random()),
+            facts: Facts::new(&config, now, incarnation, rng.random()),
+            ledger: Ledger::new(&config, now, rng.random()),
+            coordinator: Coordinator::new(Arc::clone(&config), now, incarnation, rng.random()),
+            overload: Overload::new(Arc::clone(&config), now),
+            reach: None,
+            servers: None,
+            seen: BTreeMap::new(),
+            // Members that start together do not speak in step.
+            period: now.saturating_add(first),
+            wakes: BTreeSet::new(),
+            asked: None,
+            outdated: OUTDATED_TOLD,
+            renewed: None,
+            datagrams_in: 0,
+            datagrams_out: 0,
+            bytes_in: 0,
+            bytes_out: 0,
+            refused_datagrams: 0,
+            config,
+            rng,
+        })
     }
 
-    /// Takes in what happened.
-    pub fn handle(&mut self, _now: Millis, _input: Input, _out: &mut Vec<Output>) {}
+    /// Takes in what happened at `now`, and appends what should be done. The first call, whatever it is for, asks for
+    /// the first timer.
+    pub fn handle(&mut self, now: Millis, input: Input, out: &mut Vec<Output>) {
+        let mut outbox = Outbox::new(Head::new(self.digest, self.config.me, self.incarnation));
+        match input {
+            Input::Datagram { from, bytes } => self.datagram(now, from, bytes, &mut outbox, out),
+            Input::Woke => {}
+            Input::Discovery(reach) => self.reached(now, reach, &mut outbox, out),
+            Input::Listed { version, whole, entries } => {
+                self.reached(now, Reach::Up, &mut outbox, out);
+                let listed = coordinator::Input::Listed { version, whole, entries };
+                self.coordinate(now, listed, &mut outbox, out);
+            }
+            Input::Saw { server, standing } => self.saw(now, server, standing, &mut outbox, out),
+            Input::Counted(counts) => {
+                let facts = self.overload.counted(now, &counts);
+                self.put(now, facts);
+            }
+            Input::Servers(servers) => {
+                self.overload.servers(now, &servers);
+                self.ledger.bounds(now, servers.iter().filter_map(cold));
+                self.servers = Some(servers);
+            }
+            Input::Reported { server, report } => {
+                let fact = self.overload.reported(now, server, report);
+                self.put(now, fact);
+            }
+            Input::Tried { server, well } => {
+                let fact = self.overload.tried(now, server, well);
+                self.put(now, fact);
+            }
+            Input::Publish(fact) => self.put(now, Some(fact)),
+        }
+        self.due(now, &mut outbox, out);
+        self.settle(now, &mut outbox, out);
+        for (to, bytes) in outbox.drain() {
+            if let Some(member) = self.config.members.get(usize::from(to.0)) {
+                self.datagrams_out += 1;
+                self.bytes_out += bytes.len() as u64;
+                out.push(Output::Send { to: member.address, bytes });
+            }
+        }
+        self.ask_for_timer(now, out);
+    }
 
     /// Its figures.
     pub fn view(&self) -> View {
-        View { members: self.config.members.len(), ..View::default() }
+        View {
+            living: self.membership.living().len(),
+            members: self.config.members.len(),
+            role: self.coordinator.role(),
+            term: self.coordinator.term(),
+            level: self.overload.level(),
+            refused_words: self.coordinator.refused(),
+            refused_facts: self.facts.refused(),
+            facts: self.facts.len(),
+            datagrams_in: self.datagrams_in,
+            datagrams_out: self.datagrams_out,
+            bytes_in: self.bytes_in,
+            bytes_out: self.bytes_out,
+            refused_datagrams: self.refused_datagrams,
+        }
+    }
+
+    /// Who lives, as this member sees it.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// What all members said, as far as this one heard it.
+    pub fn facts(&self) -> &Facts {
+        &self.facts
+    }
+
+    /// The incarnation that this member goes by now.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    fn datagram(
+        &mut self,
+        now: Millis,
+        from: std::net::SocketAddr,
+        bytes: &[u8],
+        outbox: &mut Outbox,
+        out: &mut Vec<Output>,
+    ) {
+        let Ok((head, parts)) = wire::read(bytes, self.digest) else {
+            self.refused_datagrams += 1;
+            return;
+        };
+        let configured = self.config.members.get(usize::from(head.sender.0));
+        if head.sender == self.config.me || configured.is_none_or(|member| member.address != from) {
+            self.refused_datagrams += 1;
+            return;
+        }
+        let newest = self.membership.incarnation(head.sender).unwrap_or(0);
+        if head.incarnation < newest {
+            self.refused_datagrams += 1;
+            if let (Some(left), Ok(body)) = (self.outdated.checked_sub(1), postcard::to_allocvec(&newest)) {
+                self.outdated = left;
+                outbox.push(head.sender, Kind::OUTDATED, &body);
+            }
+            return;
+        }
+        self.datagrams_in += 1;
+        self.bytes_in += bytes.len() as u64;
+        for (kind, part) in parts {
+            if !self.part(now, &head, kind, part, outbox, out) {
+                self.refused_datagrams += 1;
+            }
+        }
+    }
+
+    /// Hands a part of a datagram on. False: it is malformed.
+    fn part(
+        &mut self,
+        now: Millis,
+        head: &Head,
+        kind: Kind,
+        part: &[u8],
+        outbox: &mut Outbox,
+        out: &mut Vec<Output>,
+    ) -> bool {
+        let (from, incarnation) = (head.sender, head.incarnation);
+        match kind {
+            Kind::MEMBERSHIP => self.membership.heard(now, from, incarnation, part, outbox),
+            Kind::SUSPECTED => self.membership.suspected(now, from, part, outbox),
+            Kind::FACTS => self.facts.heard(now, part),
+            Kind::COMPARE => self.facts.compared(now, from, part, outbox),
+            Kind::LEASE => self.ledger.heard(now, from, incarnation, part, outbox),
+            Kind::COORDINATOR => {
+                let Ok(message) = postcard::from_bytes(part) else { return false };
+                let message = coordinator::Input::Message { from, incarnation, message };
+                self.coordinate(now, message, outbox, out);
+                true
+            }
+            Kind::OUTDATED => match postcard::from_bytes::<u64>(part) {
+                Ok(newest) => {
+                    self.outdated(now, newest, outbox, out);
+                    true
+                }
+                Err(_) => false,
+            },
+            // Of a later build.
+            _ => true,
+        }
+    }
+
+    /// Others know a later start of this member: its clock was set back between two starts. It goes on as a process
+    /// that started after that one, and with what such a one knows.
+    fn outdated(&mut self, now: Millis, newest: u64, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        let lately = self.renewed.is_some_and(|at| now.saturating_sub(at) < self.config.timing.lease);
+        if newest < self.incarnation || newest >= HIGHEST_INCARNATION || lately {
+            return;
+        }
+        // It is this very process that is known: a datagram of its former self came late.
+        if newest == self.incarnation {
+            return;
+        }
+        out.push(Output::Note(format!(
+            "others know a start of this member at {newest}, and it started at {}: was its clock set back? \
+             It goes on as {}",
+            self.incarnation,
+            newest + 1
+        )));
+        self.renewed = Some(now);
+        self.incarnation = newest + 1;
+        let own = self.facts.own();
+        self.membership = Membership::new(&self.config, self.incarnation, self.rng.random());
+        self.facts = Facts::new(&self.config, now, self.incarnation, self.rng.random());
+        self.ledger = Ledger::new(&self.config, now, self.rng.random());
+        let seed = self.rng.random();
+        self.coordinator = Coordinator::new(Arc::clone(&self.config), now, self.incarnation, seed);
+        *outbox = Outbox::new(Head::new(self.digest, self.config.me, self.incarnation));
+        // The list it gets from others, as one that starts does.
+        self.put(now, own.into_iter().filter(|fact| fact.kind != FactKind::LIST));
+        if let Some(servers) = &self.servers {
+            self.ledger.bounds(now, servers.iter().filter_map(cold));
+        }
+        if let Some(reach) = self.reach {
+            let reach = coordinator::Input::Reach { member: self.config.me, reach };
+            self.coordinate(now, reach, outbox, out);
+        }
+    }
+
+    /// Does what is due by time.
+    fn due(&mut self, now: Millis, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        self.membership.woke(now, outbox);
+        let due = self.wakes.first().is_some_and(|at| *at <= now);
+        let later = now.checked_add(1).map(|next| self.wakes.split_off(&next)).unwrap_or_default();
+        self.wakes = later;
+        let period = now >= self.period;
+        if due || period {
+            self.coordinate(now, coordinator::Input::Woke, outbox, out);
+        }
+        if period {
+            // A process that was stopped does not make up for the periods that it missed.
+            self.period = now.saturating_add(self.config.timing.period);
+            self.every_period(now, outbox, out);
+        }
+    }
+
+    /// Once a period: what is new is told, and the module gets what the fleet makes of it all.
+    fn every_period(&mut self, now: Millis, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        self.outdated = OUTDATED_TOLD;
+        self.forget_seen(now, outbox, out);
+        self.settle(now, outbox, out);
+        let (mut guidance, facts) = self.overload.decide(now, self.config.me, self.membership.living());
+        self.put(now, facts);
+        self.fill_cold(now, &mut guidance);
+        if let Some(note) = self.overload.note() {
+            out.push(Output::Note(note));
+        }
+        out.push(Output::Guidance(guidance));
+        self.membership.every_period(now, outbox);
+        self.facts.every_period(now, self.membership.living(), outbox);
+        self.ledger.every_period(now, self.membership.living(), outbox);
+    }
+
+    /// What this member may send cold servers until a little after the next period.
+    fn fill_cold(&mut self, now: Millis, guidance: &mut Guidance) {
+        let span = self.config.timing.period.saturating_mul(3) / 2;
+        let Some(servers) = &self.servers else { return };
+        let leases = servers.iter().filter_map(cold).filter_map(|bound| {
+            let lease = self.ledger.grant(now, bound.thing, span)?;
+            Some((ServerKey(bound.thing), lease))
+        });
+        guidance.cold = Some(leases.collect());
+    }
+
+    /// Lets the parts know what the others learnt, until nothing is new.
+    fn settle(&mut self, now: Millis, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        for change in self.membership.changes() {
+            if change.alive {
+                self.facts.alive(change.member, change.incarnation);
+            } else {
+                self.facts.gone(change.member);
+            }
+            let alive = coordinator::Input::Alive { member: change.member, alive: change.alive };
+            self.coordinate(now, alive, outbox, out);
+        }
+        for news in self.facts.news() {
+            self.fact_heard(now, news, outbox, out);
+        }
+    }
+
+    /// Hands on what another member said, or that it says so no more.
+    fn fact_heard(&mut self, now: Millis, news: News, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        let News { owner, fact, age } = news;
+        let (ended, server) = (fact.body.is_empty(), ServerKey(fact.key));
+        match fact.kind {
+            FactKind::REACH => {
+                if let Ok(reach) = postcard::from_bytes(&fact.body) {
+                    let reach = coordinator::Input::Reach { member: owner, reach };
+                    self.coordinate(now, reach, outbox, out);
+                }
+            }
+            FactKind::SERVER => {
+                let standing = postcard::from_bytes(&fact.body).ok();
+                let evidence = coordinator::Input::Evidence { by: owner, server, standing };
+                self.coordinate(now, evidence, outbox, out);
+            }
+            FactKind::LIST => {
+                let list = coordinator::Input::List { by: owner, body: fact.body };
+                self.coordinate(now, list, outbox, out);
+            }
+            FactKind::LOAD | FactKind::LEVEL if ended => {}
+            FactKind::LOAD | FactKind::LEVEL => {
+                self.overload.heard(now.saturating_sub(age), owner, &fact);
+            }
+            FactKind::REPORT => {
+                if let Some(report) = overload::report_of(&fact) {
+                    self.overload.heard(now.saturating_sub(age), owner, &fact);
+                    out.push(Output::Report { server, report, age });
+                }
+            }
+            FactKind::TRIAL => {
+                let lately = age <= self.config.timing.period.saturating_mul(TRIAL_PERIODS);
+                if let Some(well) = overload::trial_of(&fact).filter(|_| lately) {
+                    self.overload.heard(now.saturating_sub(age), owner, &fact);
+                    out.push(Output::Tried { server, well });
+                }
+            }
+            // Rules, and kinds of later builds, for whoever reads them.
+            _ => out.push(Output::Heard { owner, fact }),
+        }
+    }
+
+    /// Takes in how discovery looks from here.
+    fn reached(&mut self, now: Millis, reach: Reach, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        if self.reach == Some(reach) {
+            return;
+        }
+        self.reach = Some(reach);
+        let fact =
+            postcard::to_allocvec(&reach).ok().map(|body| Fact { kind: FactKind::REACH, key: 0, body });
+        self.put(now, fact);
+        self.coordinate(now, coordinator::Input::Reach { member: self.config.me, reach }, outbox, out);
+    }
+
+    /// Takes in what this member saw of a server.
+    fn saw(
+        &mut self,
+        now: Millis,
+        server: ServerKey,
+        standing: Standing,
+        outbox: &mut Outbox,
+        out: &mut Vec<Output>,
+    ) {
+        let before = match standing {
+            Standing::Serving => self.seen.remove(&server),
+            _ => self.seen.insert(server, (standing, now)),
+        };
+        // Whoever sees the same at each send does not say it at each.
+        if before.map_or(Standing::Serving, |(standing, _)| standing) != standing {
+            self.evidence(now, server, Some(standing), outbox, out);
+        }
+    }
+
+    /// Takes back what was seen too long ago.
+    fn forget_seen(&mut self, now: Millis, outbox: &mut Outbox, out: &mut Vec<Output>) {
+        let over = self.config.timing.lease.saturating_mul(SEEN_LEASES);
+        let forgotten: Vec<ServerKey> = self
+            .seen
+            .iter()
+            .filter(|(_, (_, at))| now.saturating_sub(*at) > over)
+            .map(|(server, _)| *server)
+            .collect();
+        for server in forgotten {
+            self.seen.remove(&server);
+            self.evidence(now, server, None, outbox, out);
+        }
+    }
+
+    fn evidence(
+        &mut self,
+        now: Millis,
+        server: ServerKey,
+        standing: Option<Standing>,
+        outbox: &mut Outbox,
+        out: &mut Vec<Output>,
+    ) {
+        let standing = standing.filter(|standing| *standing != Standing::Serving);
+        let body = standing.and_then(|standing| postcard::to_allocvec(&standing).ok()).unwrap_or_default();
+        self.put(now, Some(Fact { kind: FactKind::SERVER, key: server.0, body }));
+        let evidence = coordinator::Input::Evidence { by: self.config.me, server, standing };
+        self.coordinate(now, evidence, outbox, out);
+    }
+
+    /// Hands something to the coordinator, and does what it wants.
+    fn coordinate(
+        &mut self,
+        now: Millis,
+        input: coordinator::Input,
+        outbox: &mut Outbox,
+        out: &mut Vec<Output>,
+    ) {
+        let mut wanted = Vec::new();
+        self.coordinator.handle(now, input, &mut wanted);
+        for wanted in wanted {
+            match wanted {
+                coordinator::Output::Send { to, message } => {
+                    if let Ok(body) = postcard::to_allocvec(&message) {
+                        outbox.push(to, Kind::COORDINATOR, &body);
+                    }
+                }
+                coordinator::Output::WakeAt(at) => {
+                    self.wakes.insert(at);
+                    // It is woken each period anyway.
+                    while self.wakes.len() > 16 {
+                        self.wakes.pop_last();
+                    }
+                }
+                coordinator::Output::Ask(asking) => out.push(Output::Ask(asking)),
+                coordinator::Output::Server { entry, why } => out.push(Output::Server { entry, why }),
+                coordinator::Output::Publish(fact) => self.put(now, Some(fact)),
+                coordinator::Output::Note(note) => out.push(Output::Note(note)),
+            }
+        }
+    }
+
+    fn put(&mut self, now: Millis, facts: impl IntoIterator<Item = Fact>) {
+        for fact in facts {
+            self.facts.put(now, fact);
+        }
+    }
+
+    fn ask_for_timer(&mut self, now: Millis, out: &mut Vec<Output>) {
+        let wakes = [self.membership.wake_at(), self.wakes.first().copied()];
+        let next = wakes.into_iter().flatten().fold(self.period, Millis::min).max(now.saturating_add(1));
+        // One that was asked for and is still to come, no later than this, stays good.
+        if self.asked.is_none_or(|asked| asked <= now || next < asked) {
+            self.asked = Some(next);
+            out.push(Output::WakeAt(next));
+        }
+    }
+}
+
+/// The bound of a server that is cold.
+fn cold(known: &Known) -> Option<Bound> {
+    known.started?;
+    // What is no number is none.
+    let total = known.cold_requests.clamp(0.0, f64::from(u32::MAX)) as u32;
+    Some(Bound { thing: known.server.0, total, window: known.cold_window })
+}
+
+fn check(config: &Config) -> Result<(), ConfigError> {
+    let fault = |text: String| Err(ConfigError(text));
+    let members = &config.members;
+    if members.len() > usize::from(u16::MAX) {
+        return fault(format!("{} members are more than {}", members.len(), u16::MAX));
+    }
+    if usize::from(config.me.0) >= members.len() {
+        return fault(format!("member {} is not among the {} configured", config.me.0, members.len()));
+    }
+    for pair in members.windows(2) {
+        if let [one, other] = pair
+            && one.name >= other.name
+        {
+            return fault(format!("member {} stands before {}: names must rise", one.name, other.name));
+        }
+    }
+    let mut addresses = BTreeMap::new();
+    for member in members {
+        if usize::from(member.region.0) >= config.regions.len() {
+            return fault(format!(
+                "member {} is of region {}, which has no name",
+                member.name, member.region.0
+            ));
+        }
+        if let Some(other) = addresses.insert(member.address, &member.name) {
+            return fault(format!("members {other} and {} have the address {}", member.name, member.address));
+        }
+    }
+    let timing = &config.timing;
+    for (name, time) in [
+        ("period", timing.period),
+        ("suspect", timing.suspect),
+        ("lease", timing.lease),
+        ("election", timing.election),
+    ] {
+        if !(1..=3_600_000).contains(&time) {
+            return fault(format!("timing.{name} of {time} ms is not between 1 and 3,600,000"));
+        }
+    }
+    if !(0.0..=0.5).contains(&timing.drift) {
+        return fault(format!("timing.drift of {} is not between 0 and 0.5", timing.drift));
     }
+    Ok(())
 }
