--- a/crates/world/src/dice.rs
+++ b/crates/world/src/dice.rs
@@ -30,11 +30,6 @@
         of > 0.0 && self.even() < of
     }
 
-    /// One of so many, evenly.
-    pub fn one_of(&mut self, count: usize) -> usize {
-        self.0.random_range(0..count.max(1))
-    }
-
     /// A time until the next of events that come at random, with this mean.
     pub fn gap(&mut self, mean: f64) -> f64 {
         Exp::new(1.0 / mean.max(1e-9)).map_or(mean, |exp| exp.sample(&mut self.0))
--- a/crates/world/src/figures.rs
+++ b/crates/world/src/figures.rs
@@ -95,7 +95,7 @@
     let chance = |n: f64| CHANCE * (variance / n).sqrt();
     let least_high = served.iter().map(|(n, k)| k / n - chance(*n)).fold(f64::MIN, f64::max);
     let most_low = served.iter().map(|(n, k)| k / n + chance(*n)).fold(f64::MAX, f64::min);
-    (4.0 * true_variance.max(0.0).sqrt()).max(least_high - most_low)
+    (4.0 * true_variance.max(0.0).sqrt()).min(1.0).max(least_high - most_low)
 }
 
 /// How long after a time things were normal for good: the end of the last window in which less than [`NORMAL`] was
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod checks;
 mod clients;
+mod company;
 mod dice;
 mod discovery;
 mod faults;
--- a/crates/world/src/member.rs
+++ b/crates/world/src/member.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use concert::Company;
+use peers::api::Reach;
 use sagemast::Balancer;
 use sagemast::api::*;
 
@@ -95,6 +97,8 @@
     pub incarnation: u64,
     /// Its module.
     pub balancer: Balancer,
+    /// Its member of the fleet, where sidecars act together.
+    pub company: Option<Company>,
     /// Whether its process runs.
     pub life: Life,
     /// When it last went on after it was stopped.
@@ -109,6 +113,8 @@
     pub list_clock: listclock::Clock,
     /// When the timer set last for that rings.
     pub ringing: Option<Micros>,
+    /// How discovery looks from here, as was told last.
+    pub reach: Option<Reach>,
     /// Whether discovery has its watch.
     pub watches: bool,
 }
--- a/crates/world/src/roster.rs
+++ b/crates/world/src/roster.rs
@@ -1,7 +1,7 @@
 //! The lists that sidecars get from discovery, by the clock that real ones follow.
 
 use listclock::{Clock, Heard, Order, Rules, Start};
-use peers::api::Standing;
+use peers::api::{Reach, Standing};
 use sagemast::api::*;
 
 use crate::discovery::{Listed, Way};
@@ -25,6 +25,7 @@
     /// A process that starts reads the list that its file has.
     pub(crate) fn restore(&mut self, member: usize) {
         let list: Vec<(usize, Listed)> = self.members[member].list.iter().map(|(n, e)| (*n, e.clone())).collect();
+        self.remembered(member, &list);
         let listings = self.take_in(member, &list);
         self.module(member, sagemast::api::Event::Listed(ListNews::Restored(listings)));
     }
@@ -53,7 +54,10 @@
                 Way::Refused => self.tell_at(self.now + micros(WIRE), member, Told::ListEnded),
                 Way::Silent => {}
             },
-            Some(Order::GiveUp) => this.watches = false,
+            Some(Order::GiveUp) => {
+                this.watches = false;
+                self.reach(member, Reach::Down);
+            }
             None => {}
         }
         self.set_list_timer(member);
@@ -108,7 +112,11 @@
         let heard = if opening || !list.is_empty() { Heard::List } else { Heard::KeepAlive };
         this.list_clock.heard(at, heard);
         self.set_list_timer(member);
+        if opening {
+            self.reach(member, Reach::Up);
+        }
         if heard == Heard::List {
+            self.listed(member, opening, &list);
             let listings = self.take_in(member, &list);
             let news = if opening { ListNews::Complete(listings) } else { ListNews::Changed(listings) };
             self.module(member, sagemast::api::Event::Listed(news));
@@ -119,8 +127,13 @@
     pub(crate) fn list_ended(&mut self, member: usize) {
         let this = &mut self.members[member];
         this.watches = false;
+        let calling = this.list_clock.is_calling();
         this.list_clock.heard(this.clock.at(self.now), Heard::Ended);
         self.set_list_timer(member);
+        // When a watch breaks the next call shows whether discovery is there.
+        if calling {
+            self.reach(member, Reach::Down);
+        }
     }
 
     /// Entries in the terms of a sidecar's module, which holds them from now on.
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -41,6 +41,8 @@
     Probe { member: usize, incarnation: u64, server: usize },
     /// A call comes to discovery.
     Call { member: usize, incarnation: u64 },
+    /// A datagram comes to a sidecar's address.
+    Datagram { from: usize, to: usize, bytes: Vec<u8> },
     /// Discovery writes an empty line to those that watch.
     KeepAlive,
     /// A tenth of a second is over.
@@ -81,6 +83,10 @@
     pub(crate) again_dice: Dice,
     pub(crate) server_dice: Dice,
     pub(crate) sabotage: Option<Sabotage>,
+    /// Datagrams between sidecars that came.
+    pub datagrams: u64,
+    /// Lines for the operators: when, by whom, what.
+    pub notes: Vec<(Micros, usize, String)>,
     /// Cold servers that fell, by number.
     pub fallen: Vec<usize>,
 }
@@ -108,7 +114,7 @@
         let burst = match spec.mode {
             // Each has its own ten saved up.
             Mode::Alone => 10.0 * spec.members as f64,
-            Mode::Shared => 10.0f64.max(spec.members as f64),
+            Mode::Shared => peers::overload::fleet_burst(spec.members) as f64,
         };
         let mut world = World {
             now: 0,
@@ -128,6 +134,8 @@
             again_dice: Dice::new(spec.seed, "again", 0),
             server_dice: Dice::new(spec.seed, "servers", 0),
             sabotage: None,
+            datagrams: 0,
+            notes: Vec::new(),
             fallen: Vec::new(),
             servers,
             zones,
@@ -146,6 +154,8 @@
                 clock,
                 incarnation: 0,
                 balancer: Balancer::new(world.spec.settings(zone), 0),
+                company: None,
+                reach: None,
                 life: Life::Gone,
                 woke: 0,
                 open: BTreeMap::new(),
@@ -238,6 +248,7 @@
             Event::Done { server, turn, key } => self.done(server, turn, key),
             Event::Probe { member, incarnation, server } => self.asked_for_load(member, incarnation, server),
             Event::Call { member, incarnation } => self.called(member, incarnation),
+            Event::Datagram { from, to, bytes } => self.datagram(from, to, bytes),
             Event::KeepAlive => {
                 (0..self.members.len()).for_each(|member| self.write_to(member));
                 self.queue.push(self.now + KEEP_ALIVE, Event::KeepAlive);
@@ -252,18 +263,21 @@
         let zone = self.members[member].zone;
         let incarnation = self.members[member].incarnation + 1;
         let seed = Dice::new(self.spec.seed, "module", (member as u64) << 32 | incarnation).even();
-        let balancer = Balancer::new(self.spec.settings(zone), (seed * 1e15) as u64);
+        let seed = (seed * 1e15) as u64;
+        let balancer = Balancer::new(self.spec.settings(zone), seed);
+        let company = self.new_company(member, seed);
         let list_clock = self.list_clock(member, incarnation, listclock::Start::Known);
         let this = &mut self.members[member];
         this.clock.began = self.now;
         this.incarnation = incarnation;
-        this.balancer = balancer;
+        (this.balancer, this.company, this.reach) = (balancer, company, None);
         this.life = Life::Runs;
         this.list_clock = list_clock;
         (this.ringing, this.watches) = (None, false);
         self.checks.lists.restarted(member);
         self.checks.leases.restarted(member);
         self.restore(member);
+        self.company(member, concert::Input::Woke);
         self.set_list_timer(member);
     }
 
@@ -329,16 +343,22 @@
             Told::ListDue => self.list_due(member),
             Told::List { opening } => self.list_came(member, opening),
             Told::ListEnded => self.list_ended(member),
-            Told::PeerDue | Told::Datagram { .. } => {}
+            Told::PeerDue => self.company(member, concert::Input::Woke),
+            Told::Datagram { from, bytes } => self.reads(member, from, &bytes),
         }
-        self.sees_coordinator(member);
     }
 
     /// Hands an event to a sidecar's module and does what it says.
     pub(crate) fn module(&mut self, member: usize, event: sagemast::api::Event) {
         let this = &mut self.members[member];
-        let mut actions = Vec::new();
-        this.balancer.handle(this.clock.at(self.now), event, &mut actions);
+        let (mut actions, now) = (Vec::new(), this.clock.at(self.now));
+        match &mut this.company {
+            Some(company) => {
+                this.balancer.handle(now, event.clone(), &mut actions);
+                company.observed(now, &event, &actions);
+            }
+            None => this.balancer.handle(now, event, &mut actions),
+        }
         for action in actions {
             self.does(member, action);
         }
@@ -350,7 +370,7 @@
                 self.send(member, request.0, upstream.0 as usize, timeout);
             }
             Action::Cancel { request, attempt } => self.cancel(member, (request.0, attempt.0)),
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, retry_after, .. } => {
                 self.answer(member, request.0, crate::clients::Answer::Refused(retry_after));
             }
             Action::Fail(request) => self.answer(member, request.0, crate::clients::Answer::Failed),
@@ -363,17 +383,6 @@
         }
     }
 
-    /// Looks at whether a sidecar acts as coordinator.
-    pub(crate) fn sees_coordinator(&mut self, member: usize) {
-        let this = &self.members[member];
-        let acts = match this.life {
-            Life::Runs => None::<String>,
-            Life::Stopped(_) | Life::Gone => None,
-        };
-        let place = (this.region, member);
-        self.checks.coordinators.sees(self.now, place, acts, &mut self.checks.found);
-    }
-
     fn sample(&mut self) {
         let able: f64 = self.servers.iter().map(|server| server.ability(self.now, &self.spec.safety)).sum();
         self.tally.at(self.now).ability = able * PART as f64 / 1e3;
