--- a/crates/world/src/checks/coordinators.rs
+++ b/crates/world/src/checks/coordinators.rs
@@ -28,8 +28,15 @@
 
 impl Coordinators {
     /// What a sidecar that runs says of itself: its term if it acts for its region now.
-    pub fn sees(&mut self, at: Micros, (region, member): (usize, usize), term: Option<String>, found: &mut Found) {
-        let own = self.reigns.iter_mut().rev().find(|r| r.to.is_none() && r.region == region && r.member == member);
+    pub fn sees(
+        &mut self,
+        at: Micros,
+        (region, member): (usize, usize),
+        term: Option<String>,
+        found: &mut Found,
+    ) {
+        let own =
+            self.reigns.iter_mut().rev().find(|r| r.to.is_none() && r.region == region && r.member == member);
         let before = own.as_ref().map(|reign| reign.term.clone());
         if before == term {
             return;
--- a/crates/world/src/checks/leases.rs
+++ b/crates/world/src/checks/leases.rs
@@ -35,7 +35,8 @@
         if sum > bound {
             let oldest = held.values().map(|lease| lease.from).min().unwrap_or(at);
             let since = millis(oldest);
-            let text = || format!("leases of server {server} since {since:.0} ms add up to {sum}, bound {bound:.1}");
+            let text =
+                || format!("leases of server {server} since {since:.0} ms add up to {sum}, bound {bound:.1}");
             found.broken(at, Rule::Leases, text);
         }
     }
--- a/crates/world/src/checks/regions.rs
+++ b/crates/world/src/checks/regions.rs
@@ -40,7 +40,8 @@
         let inside = |allowed: &Allowed| allowed.get(&class).is_none_or(|zones| zones.contains(&zone));
         let bound = self.all.as_ref().is_none_or(|(from, allowed)| at < *from || inside(allowed));
         if !(self.allows(member, class, zone) && bound) {
-            found.broken(at, Rule::Regions, || format!("sidecar {member} sends class {class} to zone {zone}"));
+            found
+                .broken(at, Rule::Regions, || format!("sidecar {member} sends class {class} to zone {zone}"));
         }
     }
 }
--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -121,9 +121,13 @@
         if member == 0 && self.sabotage == Some(Sabotage::NeverAnswers) {
             return;
         }
-        self.members[member].open.remove(&request);
-        self.checks.answers.ended(self.now, request, &mut self.checks.found);
-        let Some(Request { ask, came }) = self.requests.remove(&request) else { return };
+        let held = self.members[member].open.remove(&request).is_some();
+        let waits = self.requests.remove(&request);
+        // A process that wakes answers clients that have left: that goes nowhere.
+        if waits.is_some() || !held {
+            self.checks.answers.ended(self.now, request, &mut self.checks.found);
+        }
+        let Some(Request { ask, came }) = waits else { return };
         let this = self.asks[ask];
         let spec = &self.spec.classes[this.class].class;
         match answer {
--- a/crates/world/src/company.rs
+++ b/crates/world/src/company.rs
@@ -57,9 +57,11 @@
 }
 
 impl World {
-    /// The company of a process that starts now; `None` where sidecars meet trouble alone.
-    pub(crate) fn new_company(&self, member: usize, seed: u64) -> Option<Company> {
-        if self.spec.mode == Mode::Alone {
+    /// The company of a process that starts now; `None` where sidecars meet trouble alone and have no rules.
+    pub(crate) fn new_company(&mut self, member: usize, seed: u64) -> Option<Company> {
+        let residency = self.rules_read(member);
+        let peers = (self.spec.mode == Mode::Shared).then(|| config(&self.spec, member));
+        if peers.is_none() && residency.is_none() {
             return None;
         }
         let settings = self.spec.settings(self.members[member].zone);
@@ -69,7 +71,8 @@
             route: None,
         };
         let setup = Setup {
-            peers: Some(config(&self.spec, member)),
+            peers,
+            residency,
             incarnation: (UNIX + self.now as f64 / 1e3) as u64,
             seed,
             settings: &settings,
--- a/crates/world/src/faults.rs
+++ b/crates/world/src/faults.rs
@@ -5,6 +5,7 @@
 use crate::discovery::Way;
 use crate::links::Fate;
 use crate::member::{Life, Told};
+use crate::rules::File;
 use crate::time::micros;
 use crate::world::World;
 
@@ -56,6 +57,8 @@
     List(usize, Standing),
     /// A server's name is that of another in this zone from now on: it starts there, cold.
     Move(usize, usize),
+    /// A sidecar's operators' file has these rules of residency from now on, and its process rereads it.
+    Rules(usize, File),
 }
 
 impl World {
@@ -81,6 +84,7 @@
                 self.end(member);
                 self.start(member);
             }
+            Fault::Rules(member, file) => self.reread(member, file),
             Fault::Pace(server, pace) => self.servers[server].pace = pace,
             Fault::Hang(server, hung) => {
                 for (key, end) in self.servers[server].hang(self.now, hung, &self.spec.safety) {
--- a/crates/world/src/figures.rs
+++ b/crates/world/src/figures.rs
@@ -44,7 +44,9 @@
         worth_share: sum(&|part| part.earned) / ideal.max(1e-9),
         retries_per_first_try: sum(&|part| f64::from(part.retries)) / tries,
         probes_per_server_s: sum(&|part| f64::from(part.probes)) / servers / seconds,
-        class_spread: (0..spec.classes.len()).map(|class| spread(&by_member(members, class))).fold(0.0, f64::max),
+        class_spread: (0..spec.classes.len())
+            .map(|class| spread(&by_member(members, class)))
+            .fold(0.0, f64::max),
         served_share: sum(&|part| f64::from(part.served)) / tries,
     }
 }
--- a/crates/world/src/links.rs
+++ b/crates/world/src/links.rs
@@ -69,7 +69,8 @@
 
     /// Cuts a sidecar off from a zone's servers, or mends that.
     pub fn cut_zone(&mut self, member: usize, zone: usize, cut: bool) {
-        let _ = if cut { self.zones_cut.insert((member, zone)) } else { self.zones_cut.remove(&(member, zone)) };
+        let _ =
+            if cut { self.zones_cut.insert((member, zone)) } else { self.zones_cut.remove(&(member, zone)) };
     }
 
     /// Whether a sidecar reaches a zone's servers.
--- a/crates/world/src/member.rs
+++ b/crates/world/src/member.rs
@@ -8,6 +8,7 @@
 use sagemast::api::*;
 
 use crate::discovery::Listed;
+use crate::rules::File;
 use crate::server::SendKey;
 use crate::time::{Clock, Micros};
 
@@ -49,6 +50,8 @@
     },
     /// A call to discovery failed, or its watch broke.
     ListEnded,
+    /// Its operators' file has other rules of residency.
+    Reread,
     /// A timer of its member of the fleet.
     PeerDue,
     /// A datagram from another sidecar.
@@ -99,6 +102,8 @@
     pub balancer: Balancer,
     /// Its member of the fleet, where sidecars act together.
     pub company: Option<Company>,
+    /// The rules of residency in its operators' file.
+    pub file: Option<File>,
     /// Whether its process runs.
     pub life: Life,
     /// When it last went on after it was stopped.
--- a/crates/world/src/roster.rs
+++ b/crates/world/src/roster.rs
@@ -24,7 +24,8 @@
 
     /// A process that starts reads the list that its file has.
     pub(crate) fn restore(&mut self, member: usize) {
-        let list: Vec<(usize, Listed)> = self.members[member].list.iter().map(|(n, e)| (*n, e.clone())).collect();
+        let list: Vec<(usize, Listed)> =
+            self.members[member].list.iter().map(|(n, e)| (*n, e.clone())).collect();
         self.remembered(member, &list);
         let listings = self.take_in(member, &list);
         self.module(member, sagemast::api::Event::Listed(ListNews::Restored(listings)));
--- a/crates/world/src/sabotage.rs
+++ b/crates/world/src/sabotage.rs
@@ -69,7 +69,9 @@
                 self.servers.push(stranger);
                 Some(self.servers.len() - 1)
             }
-            Some(Sabotage::FloodsCold) => all.into_iter().find(|server| self.servers[*server].started.is_some()),
+            Some(Sabotage::FloodsCold) => {
+                all.into_iter().find(|server| self.servers[*server].started.is_some())
+            }
             Some(Sabotage::LeavesRegion) => {
                 let (found, class) = (&self.checks.regions, class.unwrap_or(0));
                 all.into_iter().find(|server| !found.allows(0, class, self.servers[*server].zone))
--- a/crates/world/src/scenarios.rs
+++ b/crates/world/src/scenarios.rs
@@ -6,6 +6,7 @@
 use crate::discovery::Way;
 use crate::faults::Fault;
 use crate::links::Fate;
+use crate::rules::File;
 use crate::spec::{Mode, Spec, regions};
 use crate::time::{Micros, micros, millis};
 use crate::world::World;
@@ -74,7 +75,11 @@
     Scenario { name: "overload_2_lossy", cut: None, goes_wrong: |world| overload(world, 2.0) },
     Scenario { name: "stalled_third_overload", cut: None, goes_wrong: stalled_third },
     Scenario { name: "discovery_cut", cut: Some("west"), goes_wrong: |world| discovery_cut(world, 0.0) },
-    Scenario { name: "discovery_cut_lossy", cut: Some("west"), goes_wrong: |world| discovery_cut(world, 0.3) },
+    Scenario {
+        name: "discovery_cut_lossy",
+        cut: Some("west"),
+        goes_wrong: |world| discovery_cut(world, 0.3),
+    },
     Scenario { name: "region_in_halves", cut: Some("west"), goes_wrong: halves },
     Scenario { name: "rolling_restart", cut: None, goes_wrong: rolling_restart },
     Scenario { name: "zone_returns_cold", cut: None, goes_wrong: zone_returns },
@@ -85,7 +90,8 @@
     /// Plays it.
     pub fn play(&self, members: usize, mode: Mode, seed: u64) -> Results {
         let servers = (members / 40).clamp(2, 25);
-        let spec = Spec { seed, mode, members, regions: regions(2, 2), servers, load: CALM, ..Spec::default() };
+        let spec =
+            Spec { seed, mode, members, regions: regions(2, 2), servers, load: CALM, ..Spec::default() };
         let mut world = World::new(spec);
         let begin = micros(BEGIN);
         let end = begin + micros(LASTS);
@@ -188,7 +194,8 @@
     world.act(Fault::Load(0.7));
     world.at(end(), Fault::Load(CALM));
     let zone = world.zone("west-2").unwrap_or(0);
-    for server in (0..world.servers.len()).filter(|server| world.servers[*server].zone == zone) {
+    let inside = |server: &usize| world.servers[*server].zone == zone;
+    for server in (0..world.servers.len()).filter(inside).collect::<Vec<_>>() {
         world.at(micros(BEGIN), Fault::CrashServer(server));
         world.at(micros(BEGIN + 3_000.0), Fault::StartServer(server));
     }
@@ -200,9 +207,14 @@
         world.act(Fault::Side(member, 1));
         world.at(micros(BEGIN + 4_000.0), Fault::Side(member, 0));
     }
-    let rules = vec![("payment".to_owned(), vec!["west".to_owned()])];
+    let file = File { generation: 2, rules: vec![("payment".to_owned(), vec!["west".to_owned()])] };
     for member in members_of(world, "west").into_iter().take(3) {
-        world.at(micros(BEGIN + 1_000.0), Fault::Rules(member, 2, rules.clone()));
+        world.at(micros(BEGIN + 1_000.0), Fault::Rules(member, file.clone()));
+    }
+    // Two seconds after all hear each other again nobody may go by older rules.
+    if world.spec().mode == Mode::Shared {
+        let allowed = file.allowed(world.spec());
+        world.checks.regions.bind(micros(BEGIN + 6_000.0), allowed);
     }
 }
 
--- a/crates/world/src/sends.rs
+++ b/crates/world/src/sends.rs
@@ -41,6 +41,15 @@
         let zone = self.servers[server].zone;
         let place = Place { server, cell: self.servers[server].cell, zone };
         let listed = self.members[member].list.get(&server).map_or(zone, |entry| entry.zone);
+        let cut = !self.links.reaches(member, zone);
+        self.sends.insert(key, Sending { member, ask, server, sent: self.now, cut });
+        // The last look before a byte is written.
+        let company = self.members[member].company.as_mut();
+        let name = &self.zones[listed].0;
+        if company.is_some_and(|company| !company.may_write(ClassId(class), TenantId(0), name)) {
+            let ended = Told::Ended { key, outcome: Outcome::NotSent, report: None };
+            return self.tell_at(self.now, member, ended);
+        }
         let found = &mut self.checks.found;
         self.checks.lists.sent(self.now, member, server, found);
         self.checks.regions.sent(self.now, member, class, listed, found);
@@ -51,8 +60,6 @@
             self.tally.at(self.now).retries += 1;
             self.checks.budgets.retried(self.now, found);
         }
-        let cut = !self.links.reaches(member, zone);
-        self.sends.insert(key, Sending { member, ask, server, sent: self.now, cut });
         let rate = self.members[member].clock.rate;
         let until = if timeout > 0.0 { (self.now + micros(timeout / rate)).min(deadline) } else { deadline };
         self.tell_at(until.max(self.now), member, Told::TimeUp(key));
@@ -83,7 +90,8 @@
         let Some((came, warmth)) = cold else { return };
         let bound = self.spec.cold_bound(warmth);
         if came as f64 > bound && self.servers[number].life != crate::server::Life::Down {
-            let text = || format!("server {number} was sent {came} requests, {bound:.0} at warmth {warmth:.2}");
+            let text =
+                || format!("server {number} was sent {came} requests, {bound:.0} at warmth {warmth:.2}");
             self.checks.found.broken(now, Rule::Cold, text);
             self.fallen.push(number);
             self.act(Fault::CrashServer(number));
--- a/crates/world/src/spec.rs
+++ b/crates/world/src/spec.rs
@@ -124,7 +124,14 @@
 }
 
 /// A class, its aim and deadline in milliseconds.
-fn class(name: &str, share: f64, work: f64, worth: f64, [aim, deadline]: [f64; 2], effect: Effect) -> ClassSpec {
+fn class(
+    name: &str,
+    share: f64,
+    work: f64,
+    worth: f64,
+    [aim, deadline]: [f64; 2],
+    effect: Effect,
+) -> ClassSpec {
     let class = Class { aim, worth, late_worth: 0.2, effect, policy: Default::default() };
     ClassSpec { name: name.to_owned(), share, work, spread: 0.6, deadline, class }
 }
@@ -164,7 +171,8 @@
 /// Regions by the names that stories use, with so many zones each: `west` has `west-1`, `west-2` and so on.
 pub fn regions(count: usize, zones: usize) -> Vec<Region> {
     let known = ["west", "east", "north", "south"];
-    let name = |number: usize| known.get(number).map_or_else(|| format!("region{number}"), |n| (*n).to_owned());
+    let name =
+        |number: usize| known.get(number).map_or_else(|| format!("region{number}"), |n| (*n).to_owned());
     let zones = |name: &str| (1..=zones).map(|zone| format!("{name}-{zone}")).collect();
     (0..count).map(name).map(|name| Region { zones: zones(&name), name }).collect()
 }
@@ -221,7 +229,10 @@
             safety: self.safety.clone(),
             sizes_listed: true,
             worth_by_work: false,
-            retry_budget: Some(routes::policy::Budget { share: routes::units::Share(self.retries), burst: 10 }),
+            retry_budget: Some(routes::policy::Budget {
+                share: routes::units::Share(self.retries),
+                burst: 10,
+            }),
             copy_budget: None,
         }
     }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -15,6 +15,7 @@
 use crate::links::{Apart, Links};
 use crate::member::{Life, Member, Told};
 use crate::queue::Queue;
+use crate::rules::File;
 use crate::sabotage::Sabotage;
 use crate::sends::Sending;
 use crate::server::{SendKey, Server};
@@ -103,7 +104,12 @@
                 servers.push(Server::new(name, zone, cell, spec.cores, spec.waiting));
             }
         }
-        let entry = |server: &Server| Listed { standing: Standing::Serving, zone: server.zone, started: 0, version: 1 };
+        let entry = |server: &Server| Listed {
+            standing: Standing::Serving,
+            zone: server.zone,
+            started: 0,
+            version: 1,
+        };
         let list: Vec<Listed> = servers.iter().map(entry).collect();
         let mut dice = Dice::new(spec.seed, "members", 0);
         let mut shares: Vec<f64> = (0..spec.members).map(|_| dice.around(1.0, spec.clients.uneven)).collect();
@@ -142,7 +148,10 @@
             spec,
         };
         (0..world.servers.len()).for_each(|server| world.checks.lists.named(server));
-        let everything: BTreeMap<usize, Listed> = world.discovery.since(0).map(|(n, e)| (n, e.clone())).collect();
+        let everything: BTreeMap<usize, Listed> =
+            world.discovery.since(0).map(|(n, e)| (n, e.clone())).collect();
+        let rules = world.spec.rules.clone();
+        let file = (!rules.is_empty()).then_some(File { generation: 1, rules });
         for (number, rate) in rates.into_iter().enumerate() {
             let zone = number % world.zones.len();
             let region = world.zones[zone].1;
@@ -155,6 +164,7 @@
                 incarnation: 0,
                 balancer: Balancer::new(world.spec.settings(zone), 0),
                 company: None,
+                file: file.clone(),
                 reach: None,
                 life: Life::Gone,
                 woke: 0,
@@ -343,6 +353,11 @@
             Told::ListDue => self.list_due(member),
             Told::List { opening } => self.list_came(member, opening),
             Told::ListEnded => self.list_ended(member),
+            Told::Reread => {
+                if let Some(rules) = self.rules_read(member) {
+                    self.company(member, concert::Input::Reread(Some(rules)));
+                }
+            }
             Told::PeerDue => self.company(member, concert::Input::Woke),
             Told::Datagram { from, bytes } => self.reads(member, from, &bytes),
         }
