--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -42,7 +42,7 @@
 pub(crate) enum Answer {
     Served,
     /// Come back after so many milliseconds.
-    Refused(f64),
+    Refused(f64, Reason),
     Failed,
 }
 
@@ -130,6 +130,9 @@
         let Some(Request { ask, came }) = waits else { return };
         let this = self.asks[ask];
         let spec = &self.spec.classes[this.class].class;
+        if let Answer::Refused(_, reason) = answer {
+            self.tally.at(self.now).refused[reason as usize] += 1;
+        }
         match answer {
             Answer::Served => {
                 let good = self.now <= came + micros(spec.aim);
@@ -138,9 +141,10 @@
                 part.served += 1;
                 part.good += u32::from(good);
                 part.earned += earned;
+                part.served_by[this.class] += 1;
                 self.tally.member(this.first, this.member, this.class).1 += 1;
             }
-            Answer::Refused(retry_after) if this.tries < self.spec.clients.tries => {
+            Answer::Refused(retry_after, _) if this.tries < self.spec.clients.tries => {
                 let after = if self.again_dice.chance(self.spec.clients.heed) {
                     retry_after
                 } else {
@@ -148,7 +152,7 @@
                 };
                 return self.queue.push(self.now + micros(after), Event::AsksAgain(ask));
             }
-            Answer::Refused(_) | Answer::Failed => {}
+            Answer::Refused(..) | Answer::Failed => {}
         }
         self.checks.repeats.over(ask);
     }
--- a/crates/world/src/scenarios.rs
+++ b/crates/world/src/scenarios.rs
@@ -27,6 +27,8 @@
     pub name: &'static str,
     /// The region that loses discovery, if one does.
     cut: Option<&'static str>,
+    /// Whether there are rules of residency.
+    ruled: bool,
     /// What goes wrong, from [`BEGIN`] on.
     goes_wrong: fn(&mut World),
 }
@@ -71,27 +73,43 @@
 
 /// All of them.
 pub const ALL: [Scenario; 9] = [
-    Scenario { name: "overload_1_5_lossy", cut: None, goes_wrong: |world| overload(world, 1.5) },
-    Scenario { name: "overload_2_lossy", cut: None, goes_wrong: |world| overload(world, 2.0) },
-    Scenario { name: "stalled_third_overload", cut: None, goes_wrong: stalled_third },
-    Scenario { name: "discovery_cut", cut: Some("west"), goes_wrong: |world| discovery_cut(world, 0.0) },
+    Scenario {
+        name: "overload_1_5_lossy",
+        cut: None,
+        ruled: false,
+
+        goes_wrong: |world| overload(world, 1.5),
+    },
+    Scenario { name: "overload_2_lossy", cut: None, ruled: false, goes_wrong: |world| overload(world, 2.0) },
+    Scenario { name: "stalled_third_overload", cut: None, ruled: false, goes_wrong: stalled_third },
+    Scenario {
+        name: "discovery_cut",
+        cut: Some("west"),
+        ruled: false,
+
+        goes_wrong: |world| discovery_cut(world, 0.0),
+    },
     Scenario {
         name: "discovery_cut_lossy",
         cut: Some("west"),
+        ruled: false,
         goes_wrong: |world| discovery_cut(world, 0.3),
     },
-    Scenario { name: "region_in_halves", cut: Some("west"), goes_wrong: halves },
-    Scenario { name: "rolling_restart", cut: None, goes_wrong: rolling_restart },
-    Scenario { name: "zone_returns_cold", cut: None, goes_wrong: zone_returns },
-    Scenario { name: "rules_tighten_in_cut", cut: None, goes_wrong: rules_tighten },
+    Scenario { name: "region_in_halves", cut: Some("west"), ruled: false, goes_wrong: halves },
+    Scenario { name: "rolling_restart", cut: None, ruled: false, goes_wrong: rolling_restart },
+    Scenario { name: "zone_returns_cold", cut: None, ruled: false, goes_wrong: zone_returns },
+    Scenario { name: "rules_tighten_in_cut", cut: None, ruled: true, goes_wrong: rules_tighten },
 ];
 
 impl Scenario {
     /// Plays it.
     pub fn play(&self, members: usize, mode: Mode, seed: u64) -> Results {
-        let servers = (members / 40).clamp(2, 25);
-        let spec =
-            Spec { seed, mode, members, regions: regions(2, 2), servers, load: CALM, ..Spec::default() };
+        let servers = (members / 20).clamp(3, 25);
+        let regions = regions(2, 2);
+        // A rule that keeps nothing out, so that all know of rules from the start.
+        let everywhere = regions.iter().map(|region| region.name.clone()).collect();
+        let rules = if self.ruled { vec![("payment".to_owned(), everywhere)] } else { Vec::new() };
+        let spec = Spec { seed, mode, members, regions, servers, load: CALM, rules, ..Spec::default() };
         let mut world = World::new(spec);
         let begin = micros(BEGIN);
         let end = begin + micros(LASTS);
--- a/crates/world/src/sends.rs
+++ b/crates/world/src/sends.rs
@@ -7,7 +7,7 @@
 use crate::member::Told;
 use crate::server::{SendKey, Taken};
 use crate::time::{Micros, micros};
-use crate::world::{Event, World};
+use crate::world::{Event, Sent, World};
 
 /// A connection that has not come up by then has failed, in milliseconds.
 const CONNECT: f64 = 250.0;
@@ -50,6 +50,13 @@
             let ended = Told::Ended { key, outcome: Outcome::NotSent, report: None };
             return self.tell_at(self.now, member, ended);
         }
+        self.sent.push(Sent {
+            at: self.now,
+            member: member as u16,
+            server: server as u16,
+            zone: listed as u16,
+            class: class as u16,
+        });
         let found = &mut self.checks.found;
         self.checks.lists.sent(self.now, member, server, found);
         self.checks.regions.sent(self.now, member, class, listed, found);
--- a/crates/world/src/tally.rs
+++ b/crates/world/src/tally.rs
@@ -14,6 +14,10 @@
     pub good: u32,
     /// Of these, served at all.
     pub served: u32,
+    /// Of these, by class.
+    pub served_by: Vec<u32>,
+    /// Refusals, by the number of their reason: overload, residency, shed.
+    pub refused: [u32; 3],
     /// Worth earned by what came in here.
     pub earned: f64,
     /// First sends of requests.
@@ -52,7 +56,11 @@
     pub fn at(&mut self, at: Micros) -> &mut Part {
         let number = (at / PART) as usize;
         while self.parts.len() <= number {
-            self.parts.push(Part { offered: vec![(0.0, 0); self.classes], ..Part::default() });
+            self.parts.push(Part {
+                offered: vec![(0.0, 0); self.classes],
+                served_by: vec![0; self.classes],
+                ..Part::default()
+            });
         }
         &mut self.parts[number]
     }
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -55,6 +55,21 @@
 /// Discovery writes an empty line this often.
 const KEEP_ALIVE: Micros = 2_000_000;
 
+/// A send, for whoever looks at a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sent {
+    /// When.
+    pub at: Micros,
+    /// By which sidecar.
+    pub member: u16,
+    /// To which server.
+    pub server: u16,
+    /// Where that is, by the list that the sidecar holds.
+    pub zone: u16,
+    /// Of which class.
+    pub class: u16,
+}
+
 /// A fleet with all that surrounds it.
 #[derive(Debug)]
 pub struct World {
@@ -84,6 +99,8 @@
     pub(crate) again_dice: Dice,
     pub(crate) server_dice: Dice,
     pub(crate) sabotage: Option<Sabotage>,
+    /// All sends, in order.
+    pub sent: Vec<Sent>,
     /// Datagrams between sidecars that came.
     pub datagrams: u64,
     /// Lines for the operators: when, by whom, what.
@@ -140,6 +157,7 @@
             again_dice: Dice::new(spec.seed, "again", 0),
             server_dice: Dice::new(spec.seed, "servers", 0),
             sabotage: None,
+            sent: Vec::new(),
             datagrams: 0,
             notes: Vec::new(),
             fallen: Vec::new(),
@@ -385,8 +403,8 @@
                 self.send(member, request.0, upstream.0 as usize, timeout);
             }
             Action::Cancel { request, attempt } => self.cancel(member, (request.0, attempt.0)),
-            Action::Refuse { request, retry_after, .. } => {
-                self.answer(member, request.0, crate::clients::Answer::Refused(retry_after));
+            Action::Refuse { request, retry_after, reason } => {
+                self.answer(member, request.0, crate::clients::Answer::Refused(retry_after, reason));
             }
             Action::Fail(request) => self.answer(member, request.0, crate::clients::Answer::Failed),
             Action::Probe(server) => self.probe(member, server.0 as usize),
