--- a/crates/world/benches/partial_failure.rs
+++ b/crates/world/benches/partial_failure.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use world::Mode;
 use world::scenarios::{ALL, Results, Scenario};
@@ -16,12 +16,23 @@
     seeds: Option<u64>,
     scenario: Option<String>,
     modes: Vec<Mode>,
+    /// Runs of random faults instead of scenarios.
+    chaos: Option<u64>,
+    first_seed: u64,
 }
 
 /// `--bench` and whatever else cargo hands over is passed over; a flag without a sound value ends it.
 fn options() -> Result<Options, String> {
     let modes = vec![Mode::Alone, Mode::Shared];
-    let mut options = Options { json: false, members: None, seeds: None, scenario: None, modes };
+    let mut options = Options {
+        json: false,
+        members: None,
+        seeds: None,
+        scenario: None,
+        modes,
+        chaos: None,
+        first_seed: 1,
+    };
     let mut words = std::env::args().skip(1);
     while let Some(word) = words.next() {
         let mut value = || words.next().ok_or_else(|| format!("{word} needs a value"));
@@ -33,6 +44,8 @@
                 options.members = Some(members);
             }
             "--seeds" => options.seeds = Some(number(&value()?)? as u64),
+            "--chaos" => options.chaos = Some(number(&value()?)? as u64),
+            "--first-seed" => options.first_seed = number(&value()?)? as u64,
             "--scenario" => options.scenario = Some(value()?),
             "--mode" => {
                 let mode = value()?;
@@ -66,8 +79,40 @@
     text.trim_end().to_owned()
 }
 
+/// Plays so many runs of random faults in each mode, and tells each in which a rule was broken.
+fn chaos(options: &Options, runs: u64) {
+    for mode in &options.modes {
+        let (next, broken) = (AtomicU64::new(options.first_seed), AtomicU64::new(0));
+        let threads = std::thread::available_parallelism().map_or(1, usize::from);
+        std::thread::scope(|scope| {
+            for _ in 0..threads {
+                scope.spawn(|| {
+                    loop {
+                        let seed = next.fetch_add(1, Ordering::Relaxed);
+                        if seed >= options.first_seed + runs {
+                            return;
+                        }
+                        let found = world::chaos::play(seed, *mode).checks.found;
+                        if found.count() > 0 {
+                            broken.fetch_add(1, Ordering::Relaxed);
+                            let first = found.first.first().map(ToString::to_string).unwrap_or_default();
+                            println!("{} seed {seed}: {:?}, first: {first}", mode.name(), found.counts);
+                        }
+                    }
+                });
+            }
+        });
+        let broken = broken.load(Ordering::Relaxed);
+        println!("{}: {broken} of {runs} runs of random faults broke a rule", mode.name());
+    }
+}
+
 fn main() -> Result<(), String> {
     let options = options()?;
+    if let Some(runs) = options.chaos {
+        chaos(&options, runs);
+        return Ok(());
+    }
     let mut runs: Vec<(Scenario, usize, Mode, u64)> = Vec::new();
     for scenario in ALL.iter().filter(|s| options.scenario.as_ref().is_none_or(|name| name == s.name)) {
         let chosen = |members: &Vec<usize>| members.iter().map(|count| (*count, 1)).collect();
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -7,6 +7,7 @@
 //! What it is for: how many sidecars behave together while parts fail, 10 to 1,000 of them, many thousand runs. What it
 //! cannot show: sockets, memory and processors of real processes, which `crates/harelock/tests` play.
 
+pub mod chaos;
 pub mod checks;
 mod clients;
 mod company;
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -312,7 +312,7 @@
     /// A process ends, and with it the connections of its clients and to its servers.
     pub(crate) fn end(&mut self, member: usize) {
         let this = &mut self.members[member];
-        this.life = Life::Gone;
+        let life = std::mem::replace(&mut this.life, Life::Gone);
         this.watches = false;
         let open = std::mem::take(&mut this.open);
         for (request, open) in open {
@@ -321,6 +321,12 @@
             }
             self.lost(request);
         }
+        let waits = if let Life::Stopped(waits) = life { waits } else { Vec::new() };
+        for told in waits {
+            if let Told::Arrived(request) = told {
+                self.lost(request);
+            }
+        }
         self.sees_coordinator(member);
     }
 
