--- a/crates/concert/src/api.rs
+++ b/crates/concert/src/api.rs
@@ -23,8 +23,6 @@
 pub struct Setup<'a> {
     /// The member of a fleet that this sidecar is, if it is one.
     pub peers: Option<peers::api::Config>,
-    /// Its rules of residency, if it has some.
-    pub residency: Option<residency::Rules>,
     /// When this process started, in Unix milliseconds: higher than that of all processes before it.
     pub incarnation: u64,
     /// Where requests may go, if the operators' file says so.
@@ -85,8 +83,6 @@
     /// The module's classes from now on. To be handed over, and what comes of it to the module, before the module
     /// gets requests of new ones.
     Classes(Vec<ClassNames>),
-    /// The operators' rules of residency from now on.
-    Reread(Option<residency::Rules>),
 }
 
 /// Something to do, in order.
