--- a/crates/peers/src/coordinator/follow.rs
+++ b/crates/peers/src/coordinator/follow.rs
@@ -12,14 +12,14 @@
     /// Whether a holder's message counts: its term is the highest known, from now on at least.
     pub(super) fn obeys_term(&mut self, now: Millis, term: Term, out: &mut Vec<Output>) -> bool {
         if term < self.known {
-            self.refused += 1;
+            self.refused.0 += 1;
             let message = Message::Refuse { term, known: self.known };
             out.push(Output::Send { to: term.candidate, message });
             return false;
         }
         if self.office.is_some() {
             // Its lease ran out before this one's began, or it would not have been elected: the message is late.
-            self.refused += 1;
+            self.refused.0 += 1;
             self.floor = self.floor.max(term.number);
             self.renumber(now, out);
             return false;
@@ -74,7 +74,7 @@
         out: &mut Vec<Output>,
     ) {
         if to != self.setup.incarnation {
-            self.refused += 1;
+            self.refused.0 += 1;
             return;
         }
         if !self.obeys_term(now, term, out) {
--- a/crates/peers/src/coordinator/mod.rs
+++ b/crates/peers/src/coordinator/mod.rs
@@ -118,10 +118,26 @@
     in_force: BTreeMap<ServerKey, Standing>,
     asked: Asking,
     wake: Option<Millis>,
-    refused: u64,
+    refused: Figure,
     lists: Lists,
 }
 
+/// A count for the operators, which decides nothing: states that differ in it alone are one.
+#[derive(Debug, Clone, Copy)]
+struct Figure(u64);
+
+impl PartialEq for Figure {
+    fn eq(&self, _: &Figure) -> bool {
+        true
+    }
+}
+
+impl Eq for Figure {}
+
+impl std::hash::Hash for Figure {
+    fn hash<H: std::hash::Hasher>(&self, _: &mut H) {}
+}
+
 /// The `n`th number that follows from a seed (splitmix64, Steele et al. 2014).
 pub(crate) fn draw(seed: u64, n: u64) -> u64 {
     let mut z = seed.wrapping_add(n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
@@ -183,7 +199,7 @@
             in_force: BTreeMap::new(),
             asked: Asking::Usual,
             wake: None,
-            refused: 0,
+            refused: Figure(0),
             lists: Lists::new(pace, now),
         }
     }
@@ -263,7 +279,7 @@
 
     /// How many words and renewals of older terms it refused.
     pub fn refused(&self) -> u64 {
-        self.refused
+        self.refused.0
     }
 
     /// The list.
