--- a/crates/harelock/tests/fleet_faults.rs
+++ b/crates/harelock/tests/fleet_faults.rs
@@ -256,6 +256,21 @@
         let (low, high) = levels().fold((1f64, 0f64), |(low, high), at| (low.min(at), high.max(at)));
         low > 0.05 && high - low < 0.1
     });
+    // From here on no member refuses a larger share of a class than another.
+    let counted = |place: usize| {
+        let all = fleet.members[place].sum("requests", "class:bill,");
+        [all, fleet.members[place].sum("refused", "class:bill,reason:")]
+    };
+    let before: Vec<[f64; 2]> = (0..4).map(counted).collect();
+    let since = |place: usize| {
+        let ([all, refused], [all_before, refused_before]) = (counted(place), before[place]);
+        [all - all_before, refused - refused_before]
+    };
+    fleet.wait("there is enough to compare", || (0..4).all(|place| since(place)[0] >= 300.0));
+    let shares: Vec<f64> = (0..4).map(since).map(|[all, refused]| refused / all).collect();
+    println!("refused of the cheaper class by member: {shares:.3?}");
+    let (low, high) = shares.iter().fold((1f64, 0f64), |(low, high), at| (low.min(*at), high.max(*at)));
+    assert!(low > 0.0 && high - low < 0.15, "{shares:?}");
     going.store(false, Ordering::SeqCst);
     for task in load {
         fleet.on.block_on(task).unwrap();
@@ -268,15 +283,6 @@
     let (dear, cheap) = (refused("fetch"), refused("bill"));
     println!("after {:?}: {dear} of the dearer class refused, {cheap} of the cheaper", started.elapsed());
     assert!(cheap > 0.0 && dear < cheap, "{dear} of the dearer class refused, {cheap} of the cheaper");
-    // No member refuses a larger share of a class than another.
-    let share = |place: usize| {
-        let all = fleet.members[place].sum("requests", "class:bill,");
-        fleet.members[place].sum("refused", "class:bill,reason:") / all.max(1.0)
-    };
-    let shares: Vec<f64> = (0..4).map(share).collect();
-    println!("refused of the cheaper class by member: {shares:.3?}");
-    let (low, high) = shares.iter().fold((1f64, 0f64), |(low, high), at| (low.min(*at), high.max(*at)));
-    assert!(high - low < 0.15, "{shares:?}");
     for place in [4, 5] {
         fleet.members[place].signal("-CONT");
     }
