Keep checkpoints in a form that has every field: postcard leaves none out

Cause: what a fleet told was left out of a checkpoint where there was nothing, and a set was flattened; checkpoints are now in postcard's bytes, which know fields by their places. No checkpoint could be written or read.

--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -293,29 +293,30 @@
     pub report: Option<Report>,
 }
 
-/// What the sidecars of a fleet agreed on. What is absent leaves the module to itself.
+/// What the sidecars of a fleet agreed on. What is absent leaves the module to itself. A checkpoint holds it in a form
+/// that knows fields by their places: none may be left out.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Guidance {
     /// By [`ClassId`], the chance that an arrival may be sent at all; a class without one always may.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default)]
     pub admit: Vec<f64>,
     /// Retries that all classes together may make, in place of what the settings say.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub retries: Option<Allowance>,
     /// Second copies, likewise.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub copies: Option<Allowance>,
     /// Servers whose load this sidecar asks for, and no others.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub probes: Option<BTreeSet<UpstreamId>>,
     /// Ejected servers that this sidecar tries again, and no others.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub trials: Option<BTreeSet<UpstreamId>>,
     /// What it may send cold servers, instead of going by chance; nothing to those that are not named.
-    #[serde(default, skip_serializing_if = "Option::is_none", with = "crate::exact::pairs")]
+    #[serde(default, with = "crate::exact::pairs")]
     pub cold: Option<BTreeMap<UpstreamId, ColdLease>>,
     /// Where in the span that refused clients are asked to stay away theirs lie: from and to, as shares of it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub come_back: Option<[f64; 2]>,
 }
 
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -120,7 +120,6 @@
     pub(crate) requests: BTreeMap<RequestId, Held>,
     pub(crate) fleet: Fleet,
     pub(crate) seen: Learnt,
-    #[serde(default, skip_serializing_if = "Guided::is_nothing")]
     pub(crate) guided: Guided,
 }
 
--- a/crates/sagemast/src/fleet.rs
+++ b/crates/sagemast/src/fleet.rs
@@ -28,10 +28,8 @@
     /// Tells the servers' numbers. Those with high ones are not of our subset and stand in no set.
     salt: u64,
     /// Those of our subset.
-    #[serde(flatten)]
     anywhere: Ring,
     /// Those within the bounds that some requests have.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     rings: Vec<Ring>,
     zones: BTreeMap<ZoneId, Set>,
     cells: BTreeMap<CellId, Set>,
--- a/crates/sagemast/src/groups.rs
+++ b/crates/sagemast/src/groups.rs
@@ -93,7 +93,6 @@
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub(crate) struct Ring {
     /// Its zones; all there are, where it has no bounds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub bounds: Option<BTreeSet<ZoneId>>,
     /// Servers with a higher number than this are not of its subset.
     pub highest: Option<u64>,
--- a/crates/sagemast/src/guided.rs
+++ b/crates/sagemast/src/guided.rs
@@ -20,11 +20,6 @@
 }
 
 impl Guided {
-    /// Whether nothing was told.
-    pub fn is_nothing(&self) -> bool {
-        *self == Guided::default()
-    }
-
     /// Takes other guidance in place of what there is. What was sent of a lease stays sent while the lease is the same.
     pub fn take(&mut self, mut told: Guidance) {
         for (id, lease) in told.cold.iter_mut().flatten() {
