--- a/crates/world/src/clients.rs
+++ b/crates/world/src/clients.rs
@@ -28,6 +28,8 @@
     pub first: Micros,
     /// Tries so far.
     pub tries: u32,
+    /// Whether its sidecar ran when it came: what came to a stopped one nobody could have served.
+    pub counts: bool,
 }
 
 /// One try.
@@ -62,8 +64,9 @@
         if matches!(self.members[member].life, crate::member::Life::Gone) {
             return;
         }
-        let ask = Ask { member, class, work, first: self.now, tries: 0 };
-        if self.members[member].runs() {
+        let counts = self.members[member].runs();
+        let ask = Ask { member, class, work, first: self.now, tries: 0, counts };
+        if counts {
             let part = self.tally.at(self.now);
             part.first_tries += 1;
             part.offered[class].0 += work;
@@ -134,7 +137,7 @@
             self.tally.at(self.now).refused[reason as usize] += 1;
         }
         match answer {
-            Answer::Served => {
+            Answer::Served if this.counts => {
                 let good = self.now <= came + micros(spec.aim);
                 let earned = spec.worth * if good { 1.0 } else { spec.late_worth };
                 let part = self.tally.at(this.first);
@@ -152,7 +155,7 @@
                 };
                 return self.queue.push(self.now + micros(after), Event::AsksAgain(ask));
             }
-            Answer::Refused(..) | Answer::Failed => {}
+            Answer::Served | Answer::Refused(..) | Answer::Failed => {}
         }
         self.checks.repeats.over(ask);
     }
--- a/crates/world/src/scenarios.rs
+++ b/crates/world/src/scenarios.rs
@@ -17,6 +17,8 @@
 const LASTS: f64 = 8_000.0;
 /// How long it is watched after that.
 const AFTER: f64 = 7_000.0;
+/// So much of it is left for a fleet to find its level, where sidecars are compared, in milliseconds.
+const SETTLES: f64 = 2_000.0;
 /// Requests that come in a calm time, of what servers can do.
 const CALM: f64 = 0.6;
 
@@ -50,7 +52,7 @@
     pub retries_per_first_try: f64,
     /// Probes that a server got in a second while it lasted.
     pub probes_per_server_s: f64,
-    /// How far the served shares of a class lay apart between sidecars while it lasted.
+    /// How far the served shares of a class lay apart between sidecars while it lasted, once two seconds were over.
     pub class_spread: f64,
     /// Milliseconds from its end until things were normal for good; none where they were not by the end of the run.
     pub recovery_ms: Option<f64>,
@@ -134,7 +136,7 @@
             worth_share: round(figures.worth_share),
             retries_per_first_try: round(figures.retries_per_first_try),
             probes_per_server_s: round(figures.probes_per_server_s),
-            class_spread: round(figures.class_spread),
+            class_spread: round(world.figures(begin + micros(SETTLES), end).class_spread),
             recovery_ms: world.recovery_ms(end),
             election_ms: elected.map(|at| round(millis(at - begin))),
             stand_down_ms: stood_down.map(|at| round(millis(at - end))),
