--- a/crates/peers/src/coordinator/election.rs
+++ b/crates/peers/src/coordinator/election.rs
@@ -170,8 +170,9 @@
         if self.promise.is_some_and(|promise| promise.term == candidacy.term) {
             self.promise = None;
         }
-        for to in candidacy.granted.keys().filter(|member| **member != self.setup.me) {
-            out.push(Output::Send { to: *to, message: Message::Stood { term: candidacy.term, back: false } });
+        // To all: a vote may be under way.
+        for to in self.setup.others() {
+            out.push(Output::Send { to, message: Message::Stood { term: candidacy.term, back: false } });
         }
     }
 
@@ -202,6 +203,15 @@
         let to = term.candidate;
         if term < self.known || self.promised(now, &term) || self.office.is_some() {
             out.push(Output::Send { to, message: Message::Refuse { term, known: self.known } });
+            // The lower of two candidates may have given way, and its word of that was lost.
+            if let Some(promise) = self.promise
+                && promise.term < term
+                && self.heard.is_none()
+                && !self.own(&promise.term)
+            {
+                let message = Message::Refuse { term: promise.term, known: term };
+                out.push(Output::Send { to: promise.term.candidate, message });
+            }
             return;
         }
         self.known = term;
@@ -231,10 +241,21 @@
     }
 
     /// A member refused a term of this run: it knows a higher one.
-    pub(super) fn refused_by(&mut self, now: Millis, term: Term, known: Term, out: &mut Vec<Output>) {
+    pub(super) fn refused_by(
+        &mut self,
+        now: Millis,
+        by: MemberId,
+        term: Term,
+        known: Term,
+        out: &mut Vec<Output>,
+    ) {
         if !self.own(&term) || !self.plausible(&known) {
             return;
         }
+        // Not while in office: its term may have been this one before it took a higher number, and its promises count.
+        if self.office.is_none() && self.candidacy.as_ref().is_none_or(|candidacy| candidacy.term != term) {
+            out.push(Output::Send { to: by, message: Message::Stood { term, back: false } });
+        }
         self.floor = self.floor.max(known.number);
         if self.candidacy.as_ref().is_some_and(|candidacy| known > candidacy.term) {
             self.abandon(out);
--- a/crates/peers/src/coordinator/mod.rs
+++ b/crates/peers/src/coordinator/mod.rs
@@ -209,7 +209,8 @@
         self.check_lease(now, out);
         let mut changed = Changed::new();
         match input {
-            Input::Woke => {}
+            // Whoever keeps one timer only has none now.
+            Input::Woke => self.wake = None,
             Input::Message { from, incarnation, message } => {
                 self.message(now, from, incarnation, message, &mut changed, out);
             }
@@ -321,7 +322,7 @@
                 self.called(now, term, at, lasts, out);
             }
             Message::Grant { term, at } => self.granted(now, from, term, at, out),
-            Message::Refuse { term, known } => self.refused_by(now, term, known, out),
+            Message::Refuse { term, known } => self.refused_by(now, from, term, known, out),
             Message::Renew { term, to, at, lasts, words: _, list }
                 if speaks(&term) && self.plausible(&term) =>
             {
@@ -383,4 +384,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/peers/src/coordinator/office.rs
+++ b/crates/peers/src/coordinator/office.rs
@@ -247,7 +247,10 @@
         // At least half of the servers that the list has serving stay, whatever is seen.
         let room = (office.spoken.withdrawn().count() + 1) * 2 <= self.lists.serving();
         match self.evidence.withdrawn(server, true) {
-            Some(standing) if listed && room => self.say(now, server, standing),
+            // Where two say this and two say that it serves, the list counts.
+            Some(standing) if listed && room && !self.evidence.serves(server) => {
+                self.say(now, server, standing)
+            }
             _ => {
                 let alone = self.evidence.carried_since(server);
                 if alone.is_some_and(|since| now.saturating_sub(since) >= self.setup.lease) {
--- a/crates/peers/src/coordinator/tests.rs
+++ b/crates/peers/src/coordinator/tests.rs
@@ -1,1 +1,414 @@
+//! Regions of real members in memory: what is seen from outside of elections, words and lists.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddr};
+
+use super::*;
+use crate::api::{Because, Budgets, Entry, Member, RegionId, Timing};
+
+/// Members of one region with 5 ms between any two.
+pub(crate) struct Fleet {
+    pub now: Millis,
+    pub nodes: Vec<Coordinator>,
+    /// Members that are not called: nothing reaches them and their timers pass.
+    pub stopped: BTreeSet<u16>,
+    /// What was said to each process.
+    pub outs: Vec<Vec<Output>>,
+    /// One message in so many is lost, by chance; 0: none.
+    pub lost: u64,
+    pub sent: u64,
+    wakes: BTreeMap<u16, Millis>,
+    net: Vec<(Millis, u16, u16, u64, Message)>,
+}
+
+fn config(me: u16, members: u16) -> Arc<Config> {
+    let member = |id: u16| Member {
+        name: format!("m{id}"),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 9_000 + id)),
+        region: RegionId(0),
+        zone: "z".to_owned(),
+    };
+    Arc::new(Config {
+        me: MemberId(me),
+        members: (0..members).map(member).collect(),
+        regions: vec!["r".to_owned()],
+        classes: Vec::new(),
+        class_floor: 0.0,
+        budgets: Budgets { retries: 0.1, copies: 0.1 },
+        timing: Timing::default(),
+    })
+}
+
+/// A server that serves, with a name of its number.
+pub(crate) fn entry(number: u16, standing: Standing) -> Entry {
+    Entry {
+        host: format!("server-{number}"),
+        dial: SocketAddr::from((Ipv4Addr::LOCALHOST, number)),
+        zone: "z".to_owned(),
+        kind: "k".to_owned(),
+        cell: 0,
+        standing,
+        weight: 1.0,
+        started_ms: 0.0,
+    }
+}
+
+pub(crate) fn list(servers: u16) -> Vec<Entry> {
+    (0..servers).map(|number| entry(number, Standing::Serving)).collect()
+}
+
+pub(crate) fn key(number: u16) -> ServerKey {
+    ServerKey::of(&format!("server-{number}"))
+}
+
+impl Fleet {
+    /// Members that are no longer too new to vote.
+    pub fn new(members: u16) -> Fleet {
+        let mut fleet = Fleet {
+            now: 1_000_000,
+            nodes: (0..members).map(|id| Coordinator::new(config(id, members), 1_000_000, 1, 7)).collect(),
+            stopped: BTreeSet::new(),
+            outs: vec![Vec::new(); usize::from(members)],
+            lost: 0,
+            sent: 0,
+            wakes: (0..members).map(|id| (id, 0)).collect(),
+            net: Vec::new(),
+        };
+        for (id, node) in (0..).zip(&mut fleet.nodes) {
+            // Draws of their own, as processes have.
+            *node = Coordinator::new(config(id, members), 1_000_000, 1, 7 + u64::from(id));
+        }
+        fleet.run(3_000);
+        fleet
+    }
+
+    pub fn give(&mut self, id: u16, input: Input) {
+        let node = &mut self.nodes[usize::from(id)];
+        let mut out = Vec::new();
+        node.handle(self.now, input, &mut out);
+        for output in out {
+            match output {
+                Output::Send { to, message } => {
+                    let size = postcard::to_allocvec(&message).expect("it encodes").len();
+                    assert!(size <= 200, "{size} bytes: {message:?}");
+                    self.sent += 1;
+                    if self.lost == 0 || !draw(3, self.sent).is_multiple_of(self.lost) {
+                        let life = node.setup.incarnation;
+                        self.net.push((self.now + 5, id, to.0, life, message));
+                    }
+                }
+                Output::WakeAt(at) => {
+                    let wake = self.wakes.entry(id).or_insert(at);
+                    *wake = at.min(*wake);
+                }
+                other => self.outs[usize::from(id)].push(other),
+            }
+        }
+    }
+
+    pub fn all(&mut self, input: &Input) {
+        for id in 0..self.outs.len() as u16 {
+            self.give(id, input.clone());
+        }
+    }
+
+    /// All members hear how one sees discovery.
+    pub fn reach(&mut self, member: u16, reach: Reach) {
+        self.all(&Input::Reach { member: MemberId(member), reach });
+    }
+
+    pub fn outage(&mut self) {
+        for member in 0..self.outs.len() as u16 {
+            self.reach(member, Reach::Down);
+        }
+    }
+
+    /// All hear what one saw.
+    pub fn saw(&mut self, by: u16, server: u16, standing: Option<Standing>) {
+        self.all(&Input::Evidence { by: MemberId(by), server: key(server), standing });
+    }
+
+    pub fn restart(&mut self, id: u16) {
+        let members = self.outs.len() as u16;
+        let life = self.nodes[usize::from(id)].setup.incarnation + 1;
+        self.nodes[usize::from(id)] = Coordinator::new(config(id, members), self.now, life, 7);
+        self.wakes.insert(id, self.now);
+    }
+
+    pub fn run(&mut self, millis: Millis) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 1;
+            let now = self.now;
+            let (due, later): (Vec<_>, Vec<_>) = self.net.drain(..).partition(|(at, ..)| *at <= now);
+            self.net = later;
+            for (_, from, to, incarnation, message) in due {
+                if !self.stopped.contains(&to) && !self.stopped.contains(&from) {
+                    self.give(to, Input::Message { from: MemberId(from), incarnation, message });
+                }
+            }
+            let woken: Vec<u16> =
+                self.wakes.iter().filter(|(_, at)| **at <= now).map(|(id, _)| *id).collect();
+            for id in woken.into_iter().filter(|id| !self.stopped.contains(id)).collect::<Vec<_>>() {
+                self.wakes.remove(&id);
+                self.give(id, Input::Woke);
+            }
+            let acting = self.nodes.iter().filter(|node| node.acting(now)).count();
+            assert!(acting <= 1, "{acting} coordinators");
+        }
+    }
+
+    pub fn coordinator(&self) -> Option<u16> {
+        (0..).zip(&self.nodes).find(|(_, node)| node.acting(self.now)).map(|(id, _)| id)
+    }
+
+    /// How a member's process was last told that a server stands, and by whom.
+    pub fn told(&self, id: u16, server: u16) -> Option<(Standing, Because)> {
+        self.outs[usize::from(id)].iter().rev().find_map(|output| match output {
+            Output::Server { entry, why } if ServerKey::of(&entry.host) == key(server) => {
+                Some((entry.standing, *why))
+            }
+            _ => None,
+        })
+    }
+
+    fn asks(&self, id: u16) -> Option<Asking> {
+        self.outs[usize::from(id)].iter().rev().find_map(|output| match output {
+            Output::Ask(asking) => Some(*asking),
+            _ => None,
+        })
+    }
+}
+
+/// A region that holds a list of so many servers and has a coordinator.
+fn governed(members: u16, servers: u16) -> (Fleet, u16) {
+    let mut fleet = Fleet::new(members);
+    fleet.all(&Input::Listed { version: 1, whole: true, entries: list(servers) });
+    fleet.outage();
+    fleet.run(2_500);
+    let first = fleet.coordinator().expect("one is elected");
+    (fleet, first)
+}
+
+#[test]
+fn a_majority_without_discovery_elects_one_and_a_minority_none() {
+    for (members, down, elected) in
+        [(1, 1, true), (2, 1, false), (2, 2, true), (5, 2, false), (5, 3, true), (6, 3, false)]
+    {
+        let mut fleet = Fleet::new(members);
+        for member in 0..members {
+            fleet.reach(member, if member < down { Reach::Down } else { Reach::Up });
+        }
+        fleet.run(1_499);
+        assert_eq!(fleet.coordinator(), None, "the outage is not old enough");
+        fleet.run(1_000);
+        assert_eq!(fleet.coordinator().is_some(), elected, "{down} of {members}");
+        if let Some(id) = fleet.coordinator() {
+            assert!(id < down, "one of those without discovery");
+            let all: Vec<Option<Asking>> = (0..members).map(|id| fleet.asks(id)).collect();
+            let expected = |member| match member {
+                member if member == id => Some(Asking::Often),
+                member if member < down => Some(Asking::Seldom),
+                _ => None,
+            };
+            assert_eq!(all, (0..members).map(expected).collect::<Vec<_>>());
+        }
+    }
+}
+
+#[test]
+fn without_most_of_its_members_a_region_has_none() {
+    let mut fleet = Fleet::new(5);
+    fleet.outage();
+    fleet.stopped = BTreeSet::from([2, 3, 4]);
+    fleet.run(10_000);
+    assert_eq!(fleet.coordinator(), None);
+    fleet.stopped.remove(&4);
+    fleet.run(2_000);
+    assert!(fleet.coordinator().is_some(), "three of five");
+}
+
+#[test]
+fn one_that_was_stopped_past_its_lease_wakes_as_none_and_follows_its_successor() {
+    let (mut fleet, first) = governed(5, 4);
+    fleet.stopped.insert(first);
+    fleet.run(4_000);
+    let second = fleet.coordinator().expect("a successor");
+    assert_ne!(second, first);
+    fleet.stopped.clear();
+    let sent = fleet.sent;
+    fleet.give(first, Input::Woke);
+    let node = &fleet.nodes[usize::from(first)];
+    assert_ne!(node.role(), Role::Coordinates);
+    assert!(fleet.sent <= sent + 1, "no renewal, at most a question about the list");
+    fleet.run(1_000);
+    assert_eq!(fleet.coordinator(), Some(second));
+    assert_eq!(fleet.nodes[usize::from(first)].role(), Role::Follows);
+    assert_eq!(fleet.nodes[usize::from(first)].term(), fleet.nodes[usize::from(second)].term());
+}
+
+#[test]
+fn older_words_are_refused_and_counted_and_the_holder_takes_a_higher_number() {
+    let (mut fleet, first) = governed(3, 4);
+    let member = (first + 1) % 3;
+    let term = fleet.nodes[usize::from(first)].term();
+    // The member knows a higher term of a candidate that was never elected.
+    let late = Term { number: term.number + 3, candidate: MemberId((first + 2) % 3), incarnation: 1 };
+    let message = Message::Renew { term: late, to: 1, at: 0, lasts: 0, words: 0, list: Default::default() };
+    fleet.give(member, Input::Message { from: late.candidate, incarnation: 1, message });
+    let word = Word { number: 1, server: key(0), standing: Standing::Gone };
+    let old = Message::Words { term, to: 1, after: 0, upto: 1, words: vec![word] };
+    fleet.give(member, Input::Message { from: MemberId(first), incarnation: 1, message: old });
+    let node = &fleet.nodes[usize::from(member)];
+    assert_eq!((node.refused(), node.withdrawn()), (1, Vec::new()));
+    fleet.run(1_000);
+    assert_eq!(fleet.coordinator(), Some(first));
+    let now = fleet.nodes[usize::from(first)].term();
+    assert!(now > late && now.same_run(&term));
+    assert!(fleet.nodes.iter().all(|node| node.obeys().0 == now));
+}
+
+#[test]
+fn a_word_to_a_former_run_or_in_anothers_name_is_not_obeyed() {
+    let mut fleet = Fleet::new(3);
+    fleet.all(&Input::Listed { version: 1, whole: true, entries: list(4) });
+    let term = Term { number: 9, candidate: MemberId(0), incarnation: 1 };
+    let word = Word { number: 1, server: key(0), standing: Standing::Gone };
+    // To which run, from whom and in which run of it.
+    for (to, from, incarnation) in [(0, 0, 1), (2, 0, 1), (1, 2, 1), (1, 0, 2)] {
+        let message = Message::Words { term, to, after: 0, upto: 1, words: vec![word] };
+        fleet.give(1, Input::Message { from: MemberId(from), incarnation, message });
+        assert!(fleet.nodes[1].withdrawn().is_empty(), "{to} {from} {incarnation}");
+    }
+}
+
+#[test]
+fn two_members_evidence_withdraws_for_all_and_the_coordinator_gives_back() {
+    let (mut fleet, first) = governed(5, 4);
+    fleet.lost = 3;
+    fleet.saw(0, 1, Some(Standing::Gone));
+    fleet.run(3_000);
+    assert_eq!(fleet.told(2, 1), None, "one alone");
+    fleet.saw(1, 1, Some(Standing::Draining));
+    // One that was restarted, and one that heard nothing meanwhile, come level.
+    let other = (first + 1) % 5;
+    fleet.run(3_000);
+    fleet.restart(other);
+    fleet.give(other, Input::Listed { version: 1, whole: true, entries: list(4) });
+    fleet.give(other, Input::Reach { member: MemberId(other), reach: Reach::Down });
+    fleet.run(3_000);
+    for id in 0..5 {
+        assert_eq!(fleet.told(id, 1), Some((Standing::Draining, Because::Withdrawn)), "{id}");
+    }
+    // Half of four servers stay, whatever is seen.
+    for server in 0..4 {
+        fleet.saw(3, server, Some(Standing::Gone));
+        fleet.saw(4, server, Some(Standing::Gone));
+    }
+    fleet.run(2_000);
+    assert_eq!(fleet.nodes[usize::from(first)].withdrawn().len(), 2);
+    for server in 0..4 {
+        fleet.saw(3, server, Some(Standing::Serving));
+        fleet.saw(4, server, Some(Standing::Serving));
+    }
+    fleet.run(3_000);
+    for id in 0..5 {
+        assert_eq!(fleet.told(id, 1), Some((Standing::Serving, Because::GivenBack)), "{id}");
+    }
+}
+
+#[test]
+fn a_successor_withdraws_itself_what_the_former_did_and_gives_back_without_evidence() {
+    let (mut fleet, first) = governed(5, 4);
+    fleet.saw(0, 1, Some(Standing::Gone));
+    fleet.saw(1, 1, Some(Standing::Gone));
+    fleet.run(1_000);
+    fleet.stopped.insert(first);
+    for by in [0, 1] {
+        fleet.saw(by, 1, None);
+    }
+    fleet.run(5_000);
+    let second = fleet.coordinator().expect("a successor");
+    let watched = (0..5).find(|id| *id != first && *id != second).expect("another");
+    assert_eq!(fleet.told(watched, 1), Some((Standing::Gone, Because::Withdrawn)));
+    let (term, through) = fleet.nodes[usize::from(watched)].obeys();
+    assert_eq!((term.candidate, through), (MemberId(second), 1), "under its own term");
+    fleet.run(15_000);
+    assert_eq!(fleet.told(watched, 1), Some((Standing::Serving, Because::GivenBack)));
+}
+
+#[test]
+fn discovery_wins_at_once_and_all_withdrawals_end() {
+    let (mut fleet, first) = governed(5, 4);
+    fleet.saw(0, 1, Some(Standing::Gone));
+    fleet.saw(1, 1, Some(Standing::Gone));
+    fleet.run(1_000);
+    // A member's own list counts there, also while the others have none.
+    let other = (first + 1) % 5;
+    fleet.give(other, Input::Listed { version: 1, whole: true, entries: list(4) });
+    assert_eq!(fleet.told(other, 1), Some((Standing::Serving, Because::GivenBack)));
+    let entries = vec![entry(1, Standing::Draining)];
+    fleet.give(first, Input::Listed { version: 2, whole: false, entries });
+    assert_eq!(fleet.coordinator(), None);
+    fleet.lost = 3;
+    fleet.run(2_900);
+    // The drain that discovery told one is told to all, and nobody undoes it.
+    for id in (0..5).filter(|id| ![first, other].contains(id)) {
+        assert_eq!(fleet.told(id, 1), Some((Standing::Draining, Because::NewerList)), "{id}");
+    }
+}
+
+#[test]
+fn where_only_the_coordinator_reaches_discovery_the_next_waits_for_an_outage() {
+    let (mut fleet, first) = governed(5, 4);
+    fleet.reach(first, Reach::Up);
+    fleet.run(1_400);
+    assert_eq!(fleet.coordinator(), None);
+    fleet.run(1_000);
+    let second = fleet.coordinator().expect("four of five have no discovery");
+    assert_ne!(second, first);
+    fleet.run(5_000);
+    assert_eq!(fleet.coordinator(), Some(second), "it stays");
+}
+
+#[test]
+fn a_fleet_that_restarts_whole_elects_anew_after_quarantine() {
+    let (mut fleet, _) = governed(3, 4);
+    for id in 0..3 {
+        fleet.restart(id);
+    }
+    fleet.outage();
+    fleet.run(2_000);
+    assert_eq!(fleet.coordinator(), None, "too new to vote");
+    fleet.run(1_000);
+    let first = fleet.coordinator().expect("one");
+    assert_eq!(fleet.nodes[usize::from(first)].term().incarnation, 2);
+}
+
+#[test]
+fn elections_end_under_loss_and_in_large_regions() {
+    for (members, lost, within) in [(5, 3, 1_500), (60, 0, 1_000), (60, 3, 1_500)] {
+        let mut fleet = Fleet::new(members);
+        fleet.lost = lost;
+        fleet.outage();
+        fleet.run(1_500 + within);
+        assert!(fleet.coordinator().is_some(), "{members} members, one in {lost} lost");
+        let first = fleet.coordinator();
+        fleet.run(5_000);
+        assert_eq!(fleet.coordinator(), first, "it keeps its lease");
+    }
+}
+
+#[test]
+fn withdrawals_lapse_where_no_coordinator_is_heard_for_long() {
+    let (mut fleet, first) = governed(3, 4);
+    fleet.saw(0, 1, Some(Standing::Gone));
+    fleet.saw(1, 1, Some(Standing::Gone));
+    fleet.run(1_000);
+    let alone = (first + 1) % 3;
+    fleet.stopped = (0..3).filter(|id| *id != alone).collect();
+    fleet.run(58_000);
+    assert_eq!(fleet.told(alone, 1), Some((Standing::Gone, Because::Withdrawn)));
+    fleet.run(4_000);
+    assert_eq!(fleet.told(alone, 1), Some((Standing::Serving, Because::GivenBack)));
+}
--- a/crates/peers/src/lists/store.rs
+++ b/crates/peers/src/lists/store.rs
@@ -8,7 +8,7 @@
 use super::Changed;
 use crate::api::{Entry, ServerKey, Standing};
 
-/// The longest encoded entry, in bytes: a datagram holds one with its head. A host's name of 64 bytes fits with 40 bytes
+/// The longest encoded entry, in bytes: a datagram holds one with its head. A host's name of 64 bytes fits with 36 bytes
 /// for the names of zone and machine.
 pub const BODY: usize = 150;
 
