--- a/crates/peers/src/coordinator/api.rs
+++ b/crates/peers/src/coordinator/api.rs
@@ -30,7 +30,8 @@
     },
     /// A timer is due.
     Woke,
-    /// How a member sees discovery, this one included; whenever that changes. Members of other regions may be told too.
+    /// How a member sees discovery, this one included; whenever that changes. Members of other regions may be told
+    /// too.
     Reach {
         /// Who.
         member: MemberId,
@@ -53,8 +54,8 @@
         /// Its entries.
         entries: Vec<Entry>,
     },
-    /// What a member, this one included, saw of a server, whenever that changes; nothing: it says so no more (the fact
-    /// was taken back or expired).
+    /// What a member, this one included, saw of a server, whenever that changes; nothing: it says so no more (the
+    /// fact was taken back or expired).
     Evidence {
         /// Who saw it.
         by: MemberId,
--- a/crates/peers/src/coordinator/election.rs
+++ b/crates/peers/src/coordinator/election.rs
@@ -78,8 +78,9 @@
         self.own_reach() == Some(Reach::Down) && self.downs(now, self.setup.outage) >= self.setup.majority
     }
 
-    /// Whether a coordinator has nothing more to do: it has discovery itself, or a majority does not say any more that it is
-    /// out of reach. Members that fell silent do not count as such: without them the lease ends by itself.
+    /// Whether a coordinator has nothing more to do: it has discovery itself, or a majority does not say any more
+    /// that it is out of reach. Members that fell silent do not count as such: without them the lease ends by
+    /// itself.
     pub(super) fn back(&self, now: Millis) -> bool {
         self.own_reach() == Some(Reach::Up) || (self.ups() > 0 && self.downs(now, 0) < self.setup.majority)
     }
@@ -252,7 +253,8 @@
         if !self.own(&term) || !self.plausible(&known) {
             return;
         }
-        // Not while in office: its term may have been this one before it took a higher number, and its promises count.
+        // Not while in office: its term may have been this one before it took a higher number, and its promises
+        // count.
         if self.office.is_none() && self.candidacy.as_ref().is_none_or(|candidacy| candidacy.term != term) {
             out.push(Output::Send { to: by, message: Message::Stood { term, back: false } });
         }
--- a/crates/peers/src/coordinator/mod.rs
+++ b/crates/peers/src/coordinator/mod.rs
@@ -1,35 +1,40 @@
 //! One who speaks for a region while discovery is out of reach for it.
 //!
-//! **When.** A majority of the region's *configured* members must say, each for [`Timing::outage`](crate::api::Timing), that
-//! discovery is out of reach. Then one is elected by the votes of a majority of the configured members. Without one there is
-//! no coordinator and all is as without peers. It stands down as soon as it has discovery itself or no majority lacks it any more,
-//! says so to all, and the need must then be seen anew for an outage before the next is elected: so that where some
-//! reach discovery and others do not, coordinators do not follow each other in haste.
+//! **When.** A majority of the region's *configured* members must say, each for
+//! [`Timing::outage`](crate::api::Timing), that discovery is out of reach. Then one is elected by the votes of a
+//! majority of the configured members. Without one there is no coordinator and all is as without peers. It stands
+//! down as soon as it has discovery itself or no majority lacks it any more, says so to all, and the need must then
+//! be seen anew for an outage before the next is elected: so that where some reach discovery and others do not,
+//! coordinators do not follow each other in haste.
 //!
-//! **Never two.** A voter promises to follow nobody else for a time by its own clock. The candidate counts on that from when it sent
-//! its call, for that time less the drift of both clocks: `usable = lasts (1 - d) / (1 + d)`. It acts while a majority's promises
-//! can be counted on, and looks at its clock before anything else, so that a process that slept past its lease wakes as none. Two
-//! majorities share a member, and that one promises to one run at a time. Nothing is kept on disk: a new process neither votes
-//! nor stands for `lease (1 + d) / (1 - d) + election`, when all that its former self promised has run out. So the proof
-//! needs a clock that does not stand still while the process is stopped.
+//! **Never two.** A voter promises to follow nobody else for a time by its own clock. The candidate counts on that
+//! from when it sent its call, for that time less the drift of both clocks: `usable = lasts (1 - d) / (1 + d)`. It
+//! acts while a majority's promises can be counted on, and looks at its clock before anything else, so that a
+//! process that slept past its lease wakes as none. Two majorities share a member, and that one promises to one run
+//! at a time. Nothing is kept on disk: a new process neither votes nor stands for `lease (1 + d) / (1 - d) +
+//! election`, when all that its former self promised has run out. So the proof needs a clock that does not stand
+//! still while the process is stopped.
 //!
-//! **Old terms.** A term is a number, its candidate and which run of it. Members obey the highest that they know; words and renewals of
-//! lower ones are refused, counted and answered with what is known, whereupon a holder whose lease still goes takes a higher
-//! number, for promises are to a run and not to a number. A fleet that was restarted whole counts from one again. What is still under way
-//! from before cannot be obeyed then: each word names the incarnation that it is sent to, a sender learns that
-//! only from a message of that very run, and messages of former runs are dropped once the new one was heard.
+//! **Old terms.** A term is a number, its candidate and which run of it. Members obey the highest that they know;
+//! words and renewals of lower ones are refused, counted and answered with what is known, whereupon a holder whose
+//! lease still goes takes a higher number, for promises are to a run and not to a number. A fleet that was
+//! restarted whole counts from one again. What is still under way from before cannot be obeyed then: each word
+//! names the incarnation that it is sent to, a sender learns that only from a message of that very run, and
+//! messages of former runs are dropped once the new one was heard.
 //!
-//! **Small regions.** With one configured member the majority is itself: it asks discovery often, and withdraws nothing, for
-//! evidence takes two. With two both must agree on everything: when either is gone there is no coordinator.
+//! **Small regions.** With one configured member the majority is itself: it asks discovery often, and withdraws
+//! nothing, for evidence takes two. With two both must agree on everything: when either is gone there is no
+//! coordinator.
 //!
-//! **Withdrawals.** By the evidence of two members of the region, and never more than leave half of the list's servers. Whoever withdrew gives
-//! back: when two members saw the server serve again, when its entry in the list changed, or some leases later when no
-//! two say so any more. A successor says again under its own term what former ones withdrew, as far as it or two others know, before it may
-//! give it back. They end at once with discovery's own list at a member, and with the coordinator's word that discovery
-//! is back. A member that hears no coordinator for [`LAPSE`] leases goes by its list again.
+//! **Withdrawals.** By the evidence of two members of the region, and never more than leave half of the list's
+//! servers. Whoever withdrew gives back: when two members saw the server serve again, when its entry in the list
+//! changed, or some leases later when no two say so any more. A successor says again under its own term what former
+//! ones withdrew, as far as it or two others know, before it may give it back. They end at once with discovery's
+//! own list at a member, and with the coordinator's word that discovery is back. A member that hears no coordinator
+//! for [`LAPSE`] leases goes by its list again.
 //!
-//! Traffic: a coordinator sends each other member of its region two to four renewals a lease, and each answers; a call for votes goes to each
-//! once in `election`.
+//! Traffic: a coordinator sends each other member of its region two to four renewals a lease, and each answers; a
+//! call for votes goes to each once in `election`.
 
 mod api;
 mod election;
@@ -246,7 +251,10 @@
         self.speak(now, out);
         self.keep_leaving(now, out);
         self.lapse(now, out);
-        let trouble = self.reaches.values().any(|(reach, _)| *reach == Reach::Down);
+        let down = |(member, (reach, _)): (&MemberId, &(Reach, Millis))| {
+            *reach == Reach::Down && !self.gone.contains(member)
+        };
+        let trouble = self.reaches.iter().any(down);
         self.lists.tick(now, trouble, out);
         self.settle(&changed, out);
         self.ask(now, out);
--- a/crates/peers/src/coordinator/office.rs
+++ b/crates/peers/src/coordinator/office.rs
@@ -12,8 +12,8 @@
 /// anything new, and each giving back costs requests that find out.
 const HOLD: u64 = 5;
 
-/// In regions of at most so many members renewals go out four times a lease, in larger ones twice: there a majority of those
-/// that were asked once is nearly certain, and each costs a datagram.
+/// In regions of at most so many members renewals go out four times a lease, in larger ones twice: there a majority
+/// of those that were asked once is nearly certain, and each costs a datagram.
 const SMALL: usize = 64;
 
 /// The coordinator's own state.
@@ -39,7 +39,8 @@
 }
 
 impl Coordinator {
-    /// Until when a majority's promises can be counted on, by this member's clock; nothing where it is not in office.
+    /// Until when a majority's promises can be counted on, by this member's clock; nothing where it is not in
+    /// office.
     pub fn lease_until(&self) -> Option<Millis> {
         let office = self.office.as_ref()?;
         let mut held: Vec<Millis> = office.held.values().copied().collect();
@@ -89,15 +90,16 @@
             spoken: Spoken::default(),
             renew: now,
         });
-        // What former coordinators withdrew, as far as this member knows, it withdraws itself before it may give it back.
+        // What former coordinators withdrew, as far as this member knows, it withdraws itself before it may give it
+        // back.
         let former: Vec<(ServerKey, Standing)> = self.obeyed.all().collect();
         for (server, standing) in former {
             self.say(now, server, standing);
         }
     }
 
-    /// Takes a higher number while the lease goes on: some member knows a higher term than this one, of a candidate that was
-    /// not elected, and would refuse its words. Promises are to a run, so that no vote is needed.
+    /// Takes a higher number while the lease goes on: some member knows a higher term than this one, of a candidate
+    /// that was not elected, and would refuse its words. Promises are to a run, so that no vote is needed.
     pub(super) fn renumber(&mut self, now: Millis, out: &mut Vec<Output>) {
         let Some(number) = self.known.number.max(self.floor).checked_add(1) else { return };
         let Some(office) = &mut self.office else { return };
--- a/crates/peers/src/coordinator/term.rs
+++ b/crates/peers/src/coordinator/term.rs
@@ -5,9 +5,9 @@
 use crate::api::{MemberId, ServerKey, Standing};
 use crate::lists::{self, Rank};
 
-/// Whose word counts: the highest term that a member knows of. A term is of one run of one candidate, and a run never
-/// takes the same number twice, so that no two processes ever hold one term, not even after a fleet was restarted whole
-/// and counts from one again.
+/// Whose word counts: the highest term that a member knows of. A term is of one run of one candidate, and a run
+/// never takes the same number twice, so that no two processes ever hold one term, not even after a fleet was
+/// restarted whole and counts from one again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Term {
     /// Counts up with each call for votes. 0: no term is known.
@@ -28,8 +28,8 @@
     }
 }
 
-/// What a coordinator says of one server. In each term the numbers count up from one; of the words about one server the
-/// last one counts.
+/// What a coordinator says of one server. In each term the numbers count up from one; of the words about one server
+/// the last one counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Word {
     /// Its number in its term.
@@ -111,7 +111,8 @@
         /// ...are these, in the order of their numbers.
         words: Vec<Word>,
     },
-    /// The term is over: its candidate has given it up, whether or not it was elected. No promise is needed any more.
+    /// The term is over: its candidate has given it up, whether or not it was elected. No promise is needed any
+    /// more.
     Stood {
         /// Which.
         term: Term,
--- a/crates/peers/src/lists.rs
+++ b/crates/peers/src/lists.rs
@@ -1,22 +1,26 @@
 //! Discovery's list, from whoever of the members has the newest.
 //!
-//! Each member keeps what its own discovery told it, every entry with the version at which it changed. While its own
-//! discovery is out of reach, a member that is behind pulls the difference from one that is ahead ([`pull`]).
+//! Each member keeps what its own discovery told it, every entry with the version at which it changed. While its
+//! own discovery is out of reach, a member that is behind pulls the difference from one that is ahead (`pull.rs`).
 //!
-//! **Which list is newer.** Versions of one discovery count up, but discovery may restart and count from one again. So lists
-//! are ranked by epoch, then by version. A member raises the epoch only where its own discovery answers, when
+//! **Which list is newer.** Versions of one discovery count up, but discovery may restart and count from one again.
+//! So lists are ranked by epoch, then by version. A member raises the epoch only where its own discovery answers,
+//! when
 //! - its own discovery told a whole list of a lower version than it had told before: it began anew;
-//! - members without discovery held a higher rank for [`PATIENCE`] outages: discovery began anew before it was heard here. A
-//!   replica of discovery that only lags has caught up by then, so that its lag does not undo drains that others were told.
+//! - members without discovery held a higher rank for [`PATIENCE`] outages: discovery began anew before it was
+//!   heard here. A replica of discovery that only lags has caught up by then, so that its lag does not undo drains
+//!   that others were told.
 //!
-//! Members with discovery adopt the highest epoch among themselves at once: they hear one discovery. Weighed against this:
-//! "the live list always wins" flips back as soon as its teller falls silent, for the others still hold the higher version; "the higher
-//! version always wins" leaves a region on a list from before the restart for as long as its own discovery is away.
+//! Members with discovery adopt the highest epoch among themselves at once: they hear one discovery. Weighed
+//! against this: "the live list always wins" flips back as soon as its teller falls silent, for the others still
+//! hold the higher version; "the higher version always wins" leaves a region on a list from before the restart for
+//! as long as its own discovery is away.
 //!
-//! **Whom to trust.** What a member's own discovery says always wins at that member, and one whose discovery answers takes nothing from
-//! others. Configured members are trusted to pass on what discovery told them: one that lies can name servers to those
-//! without discovery, [`ENTRIES`] at most, until their own discovery is back. Nobody else can: datagrams come from configured
-//! addresses only, and what does not follow in order or does not decode is refused and counted.
+//! **Whom to trust.** What a member's own discovery says always wins at that member, and one whose discovery
+//! answers takes nothing from others. Configured members are trusted to pass on what discovery told them: one that
+//! lies can name servers to those without discovery, [`ENTRIES`] at most, until their own discovery is back. Nobody
+//! else can: datagrams come from configured addresses only, and what does not follow in order or does not decode is
+//! refused and counted.
 
 mod pull;
 mod store;
@@ -33,8 +37,8 @@
 use pull::Pull;
 use store::Store;
 
-/// How many outages members without discovery must have held a newer list before one with discovery says that versions
-/// began anew.
+/// How many outages members without discovery must have held a newer list before one with discovery says that
+/// versions began anew.
 pub const PATIENCE: u64 = 5;
 
 /// How new a list is: the higher one counts.
@@ -60,7 +64,8 @@
 }
 
 impl Pace {
-    /// How long a member waits between two facts about its list, so that the whole fleet changes 50 of them a second at most.
+    /// How long a member waits between two facts about its list, so that the whole fleet changes 50 of them a
+    /// second at most.
     fn spacing(&self) -> Millis {
         self.round.max(20 * u64::from(self.members))
     }
@@ -189,8 +194,8 @@
         }
     }
 
-    /// Whether this member's own discovery answers. Where another list is held than it told last, the member still takes what
-    /// others have until it tells one.
+    /// Whether this member's own discovery answers. Where another list is held than it told last, the member still
+    /// takes what others have until it tells one.
     pub(crate) fn reach(&mut self, up: bool) {
         self.live = up && self.direct == Some(self.rank.version);
         self.outranked = None;
--- a/crates/peers/src/lists/pull.rs
+++ b/crates/peers/src/lists/pull.rs
@@ -1,8 +1,10 @@
-//! How a member that is behind gets what changed from one that is ahead: datagram by datagram, from where it had come to.
+//! How a member that is behind gets what changed from one that is ahead: datagram by datagram, from where it had
+//! come to.
 //!
-//! A part says after which place of the source's order it follows and ends with its last entry's place. So parts may be
-//! lost, doubled or come in any order: those that follow are chained to what is there, and the asker asks again from where
-//! the chain ends. Places of two sources do not compare, so that a change of source begins again from the asker's own version.
+//! A part says after which place of the source's order it follows and ends with its last entry's place. So parts
+//! may be lost, doubled or come in any order: those that follow are chained to what is there, and the asker asks
+//! again from where the chain ends. Places of two sources do not compare, so that a change of source begins again
+//! from the asker's own version.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,7 +24,8 @@
 const PARTS: u32 = 64;
 /// Askings without progress before another source is tried.
 const TRIES: u32 = 6;
-/// After how many rounds a difference that led to another list than its source's may be mended again by pulling the whole.
+/// After how many rounds a difference that led to another list than its source's may be mended again by pulling the
+/// whole.
 const MEND: u64 = 20;
 
 /// The body of a fact of the kind `LIST`.
@@ -237,8 +240,8 @@
         }
     }
 
-    /// Whether a part of this rank belongs to the present pull. A newer one from its source does, but then what came ahead of the
-    /// chain does not: an entry may have moved from there to the end.
+    /// Whether a part of this rank belongs to the present pull. A newer one from its source does, but then what
+    /// came ahead of the chain does not: an entry may have moved from there to the end.
     fn follows(&mut self, from: MemberId, rank: Rank) -> bool {
         self.holds(from, rank);
         let Some(pull) = &mut self.pull else { return false };
--- a/crates/peers/src/lists/store.rs
+++ b/crates/peers/src/lists/store.rs
@@ -8,8 +8,8 @@
 use super::Changed;
 use crate::api::{Entry, ServerKey, Standing};
 
-/// The longest encoded entry, in bytes: a datagram holds one with its head. A host's name of 64 bytes fits with 36 bytes
-/// for the names of zone and machine.
+/// The longest encoded entry, in bytes: a datagram holds one with its head. A host's name of 64 bytes fits with 36
+/// bytes for the names of zone and machine.
 pub const BODY: usize = 150;
 
 /// How many servers a list holds at most, ended ones not counted.
@@ -18,7 +18,8 @@
 /// How many ended servers are remembered, so that members that are behind learn that they are gone.
 const ENDED: usize = 1_024;
 
-/// Where an entry is in the order of changes. All entries above `Place { at: version, key: u64::MAX }` changed after that version.
+/// Where an entry is in the order of changes. All entries above `Place { at: version, key: u64::MAX }` changed
+/// after that version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Place {
     /// The version at which it changed, or a later one at which this was seen.
@@ -128,8 +129,8 @@
         self.forget();
     }
 
-    /// An entry that changed at a version. An equal one takes the later place all the same: it may have changed and changed
-    /// back, and who heard of the first change must hear of the second.
+    /// An entry that changed at a version. An equal one takes the later place all the same: it may have changed and
+    /// changed back, and who heard of the first change must hear of the second.
     pub fn put(&mut self, key: ServerKey, at: u64, standing: Standing, body: Vec<u8>, changed: &mut Changed) {
         let old = self.items.get(&key);
         if let Some(same) = old.filter(|old| old.body == body) {
--- a/crates/peers/tests/model.rs
+++ b/crates/peers/tests/model.rs
@@ -1,6 +1,7 @@
-//! Model checking of the coordinator: the states that the real code reaches under any order, loss, delay and doubling of its messages, with
-//! clocks as far apart as the bound allows, members that stall at any point (they are not called while time goes on) and
-//! members that are restarted. A message that is sent may be delivered at any later time and any number of times, or never.
+//! Model checking of the coordinator: the states that the real code reaches under any order, loss, delay and
+//! doubling of its messages, with clocks as far apart as the bound allows, members that stall at any point (they
+//! are not called while time goes on) and members that are restarted. A message that is sent may be delivered at
+//! any later time and any number of times, or never.
 //!
 //! Time goes in ticks that all clocks see; a tick is longer by some clocks than by others. What is bounded: ticks,
 //! restarts, and in the larger variants how many ticks a message may be under way.
