--- a/crates/concert/src/company/tests.rs
+++ b/crates/concert/src/company/tests.rs
@@ -420,7 +420,7 @@
         assert_eq!(duties.len(), 6, "two ask each server, and there are two");
     }
     // The first one's list is newer and says that a server drains.
-    let drains = vec![entry(3, 1, Standing::Draining, 0.0)];
+    let drains = [entry(3, 1, Standing::Draining, 0.0)];
     let entries = drains.iter().map(|entry| (UpstreamId(3), entry.clone())).collect();
     pair[0].input(Input::Listed { version: 2, whole: false, entries });
     pair[1].input(Input::Reach(Reach::Down));
--- a/crates/node/src/capture/tests.rs
+++ b/crates/node/src/capture/tests.rs
@@ -1,4 +1,3 @@
-
 use super::*;
 
 pub fn settings() -> sagemast::api::Settings {
