--- a/crates/world/src/sabotage.rs
+++ b/crates/world/src/sabotage.rs
@@ -9,7 +9,7 @@
 use crate::time::micros;
 use crate::world::World;
 
-/// A defect of sidecar 0.
+/// A defect of sidecar 0, or of all where one alone does no harm.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sabotage {
     /// Answers each request twice.
@@ -53,10 +53,11 @@
 impl World {
     /// Where a send of a sidecar really goes.
     pub(crate) fn sabotaged(&mut self, member: usize, request: u64, server: usize) -> usize {
-        if member != 0 {
+        // One sidecar by itself hardly has the requests to overrun a server.
+        if member != 0 && self.sabotage != Some(Sabotage::FloodsCold) {
             return server;
         }
-        let class = self.members[0].open.get(&request).map(|open| open.class);
+        let class = self.members[member].open.get(&request).map(|open| open.class);
         let all = 0..self.servers.len();
         let other = match self.sabotage {
             Some(Sabotage::IgnoresDrains) => {
@@ -83,7 +84,15 @@
 
     /// What a faulty sidecar does after a send.
     pub(crate) fn after_send(&mut self, member: usize, key: SendKey) {
-        if member == 0 && self.sabotage == Some(Sabotage::Floods) && key.1 < 2 {
+        let class = self.members[member].open.get(&key.0).map(|open| &self.spec.classes[open.class].class);
+        let again = match self.sabotage {
+            Some(Sabotage::Floods) => key.1 < 2,
+            Some(Sabotage::RunsTwice) => {
+                key.1 == 0 && class.is_some_and(|class| class.effect == Effect::Once)
+            }
+            _ => false,
+        };
+        if member == 0 && again {
             let server = (key.0 as usize + key.1 as usize) % self.servers.len();
             self.send(member, key.0, server, 0.0);
         }
