--- a/crates/world/tests/features/clients.feature
+++ b/crates/world/tests/features/clients.feature
@@ -7,6 +7,7 @@
     And it has run for 4 seconds
     When clients ask for 1.5 times what servers can do
     And 6 seconds pass
+    # Not reached yet: 30 percent is wanted (docs/OPEN.md).
     Then at least 15 percent of the last 5 seconds is served
     And no rule is broken
     When clients ask for 0.5 times what servers can do
--- a/crates/world/tests/features/coordinator.feature
+++ b/crates/world/tests/features/coordinator.feature
@@ -50,6 +50,7 @@
     When 3 seconds pass
     And discovery is back for region west
     Then within 5 seconds no coordinator acts in region west
+    # Not reached yet: none may act at any time after it stood down; one is elected again 1.7 s later (docs/OPEN.md).
     When 10 seconds pass
     Then for 5 seconds no coordinator acts in region west
     And discovery was called at most 12 times in any second since then
--- a/crates/world/tests/features/overload.feature
+++ b/crates/world/tests/features/overload.feature
@@ -17,6 +17,7 @@
     When clients ask for <load> times what servers can do
     And 4 seconds pass
     And 8 seconds pass
+    # Not reached yet: 0.9 is wanted (docs/OPEN.md).
     Then the worth of the last 8 seconds is at least 0.88 of the ideal
     And at least 90 percent of class payment of the last 8 seconds is served
     And class order is served more than class browse in the last 8 seconds
@@ -41,6 +42,7 @@
     And it has run for 4 seconds
     When clients ask for 1.5 times what servers can do
     And 12 seconds pass
+    # Not reached yet: 0.9 is wanted (docs/OPEN.md).
     Then the worth of the last 8 seconds is at least 0.88 of the ideal
     And no rule is broken
 
@@ -109,6 +111,7 @@
     When region west is cut off from all others
     And clients ask for 1.5 times what servers can do
     And 12 seconds pass
+    # Not reached yet: 0.85 is wanted (docs/OPEN.md).
     Then the worth of the last 6 seconds is at least 0.6 of the ideal
     And no rule is broken
 
@@ -135,5 +138,6 @@
     And 3 seconds pass
     And all sidecars start anew
     And 12 seconds pass
+    # Not reached yet: 0.85 is wanted (docs/OPEN.md).
     Then the worth of the last 6 seconds is at least 0.6 of the ideal
     And no rule is broken
