See that a client has left behind bytes it had sent, and close idle clients while scarce

Cause: the HTTP server reads only when it needs bytes. While a request is answered it learns of a close only where nothing lies behind that request, and tokio takes a short read as a drained socket. Idle clients that were accepted while connections were plentiful kept them for 75 s, and connections that were closed after an answer were reset over unread bytes. Change: the front is split by concern; its socket is read ahead into a bounded buffer while a request is answered, idle connections go after 2 s while connections are scarce, one is ended only while nothing on it is open, pipelined requests included, and we wait for the client's close after ours.

--- a/crates/harelock/src/main.rs
+++ b/crates/harelock/src/main.rs
@@ -25,7 +25,7 @@
 use node::figures::Figures;
 use node::fronts::Phase;
 use node::fronts::address_lists::AddressLists;
-use node::fronts::http::{self, Doors, Front};
+use node::fronts::http::{self, Front, Listeners};
 use node::fronts::tls::{Source, Tls};
 use node::log;
 use node::operator::{self, Facts, Operator};
@@ -166,8 +166,8 @@
     tokio::spawn(reread.run(asked.clone()));
     let engine = Engine::new(config.settings, seed, table, surroundings, operator.capture.as_ref());
     let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
-    let doors = Doors { plain: listener, tls };
-    let serving = tokio::spawn(http::serve(doors, front.clone(), clients));
+    let listeners = Listeners { plain: listener, tls };
+    let serving = tokio::spawn(http::serve(listeners, front.clone(), clients));
 
     loop {
         tokio::select! {
--- /dev/null
+++ b/crates/node/src/fronts/http/connection.rs
@@ -0,0 +1,233 @@
+//! One client connection, from its first byte to its close.
+//!
+//! The HTTP server of `hyper` reads requests and writes answers. This module decides when the connection ends: when its
+//! client has gone, when it has been idle for too long, or when the process ends. It is closed only while no request on
+//! it is open, so that everything that was read is answered.
+
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::sync::watch;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::io::InspectReader;
+
+use super::activity::Activity;
+use super::framing::Framing;
+use super::listener::Who;
+use super::request::{Context, body_bytes, handle};
+use super::socket::ClientSocket;
+use super::{Front, IDLE_AT_END, REQUEST_TIME};
+use crate::fronts::Phase;
+
+/// Room for a head; hyper also reads bodies through it.
+const BUFFER_BYTES: usize = 32 << 10;
+/// A connection on which no whole head comes for this long is closed.
+const IDLE: Duration = Duration::from_secs(75);
+/// The same while connections are scarce: idle ones must not keep others out.
+const IDLE_WHILE_SCARCE: Duration = Duration::from_secs(2);
+/// So long a client may take to close its side once we have closed ours.
+const CLOSE_TIME: Duration = Duration::from_millis(500);
+/// How often bytes that wait to be read may put off the close of an idle connection.
+const PUT_OFF: usize = 8;
+
+/// A connection that was accepted.
+pub struct Opened {
+    /// When.
+    pub at: Instant,
+    /// Whether connections are scarce.
+    pub scarce: watch::Receiver<bool>,
+}
+
+/// Why a connection ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// The client closed it, or it broke: nobody waits for anything on it.
+    ByClient,
+    /// We end it.
+    ByUs,
+}
+
+/// Serves one client connection and closes it. `socket` is what lies under `stream`.
+pub async fn serve(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    socket: ClientSocket,
+    who: Arc<Who>,
+    opened: Opened,
+    front: &Arc<Front>,
+) {
+    if exchange(stream, &socket, who, opened, front).await == End::ByUs {
+        socket.close(CLOSE_TIME).await;
+    }
+}
+
+/// Serves requests until the connection is to be closed.
+async fn exchange(
+    stream: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+    socket: &ClientSocket,
+    who: Arc<Who>,
+    mut opened: Opened,
+    front: &Arc<Front>,
+) -> End {
+    let mut phase = front.phase.clone();
+    let mut now = *phase.borrow_and_update();
+    let exchange = Arc::new(Exchange {
+        front: front.clone(),
+        shown: who.to_string().into(),
+        who,
+        socket: socket.clone(),
+        opened: opened.at,
+        activity: Activity::new(opened.at),
+        framing: Mutex::default(),
+    });
+    let activity = &exchange.activity;
+    let (seen, serving) = (exchange.clone(), exchange.clone());
+    let stream = InspectReader::new(stream, move |bytes: &[u8]| seen.received(bytes));
+    let service = service_fn(move |request| serving.clone().answer(request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(match now {
+            Phase::Closing => IDLE_AT_END,
+            _ if *opened.scarce.borrow_and_update() => IDLE_WHILE_SCARCE,
+            _ => IDLE,
+        })
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut is_watched = true;
+    let mut put_off = PUT_OFF;
+    let mut is_shut = false;
+    loop {
+        // A connection that has carried nothing yet is about to: it gets its one answer while clients may still come.
+        let is_closing = now == Phase::Closing || (now == Phase::Leaving && activity.has_carried());
+        let may_shut = is_closing && !is_shut;
+        tokio::select! {
+            // First read what has come, then look whether to close.
+            biased;
+            // Errors here are clients that left or wrote nonsense; hyper has answered those it can.
+            end = connection.as_mut() => {
+                if let (Err(error), Some(figures)) = (end, &front.figures) {
+                    status_of(&error).into_iter().for_each(|status| figures.answered_unread(status));
+                }
+                return End::ByUs;
+            }
+            () = client_left(socket, activity) => return End::ByClient,
+            () = activity.is_idle(), if may_shut => {
+                if put_off > 0 && socket.has_unread() {
+                    // The runtime has not told the connection of it yet.
+                    put_off -= 1;
+                    yield_now().await;
+                } else {
+                    // A head that has begun to come is still read and answered.
+                    connection.as_mut().graceful_shutdown();
+                    is_shut = true;
+                }
+            }
+            // It connected and has not sent even a head: it is no client, and keeps others out.
+            () = sleep_until(opened.at + REQUEST_TIME), if is_watched => {
+                if !activity.has_carried() {
+                    return End::ByUs;
+                }
+                is_watched = false;
+            }
+            () = idle_while_scarce(&mut opened.scarce, activity) => return End::ByUs,
+            changed = phase.changed() => {
+                // Without its sender the process is about to be gone.
+                now = changed.map_or(Phase::Closing, |()| *phase.borrow_and_update());
+            }
+        }
+    }
+}
+
+/// Comes back once the client has closed while it was owed an answer.
+async fn client_left(socket: &ClientSocket, activity: &Activity) {
+    loop {
+        activity.waiting().await;
+        if socket.closed_by_peer(|| activity.is_waiting()).await {
+            return;
+        }
+    }
+}
+
+/// Comes back once a connection has been idle for as long as it may be while connections are scarce, and they are.
+async fn idle_while_scarce(scarce: &mut watch::Receiver<bool>, activity: &Activity) {
+    loop {
+        if scarce.wait_for(|scarce| *scarce).await.is_err() {
+            return std::future::pending().await;
+        }
+        tokio::select! {
+            () = activity.idle_for(IDLE_WHILE_SCARCE) => return,
+            _ = scarce.wait_for(|scarce| !*scarce) => {}
+        }
+    }
+}
+
+/// What the requests of one connection share.
+struct Exchange {
+    front: Arc<Front>,
+    who: Arc<Who>,
+    /// The same, as log lines begin.
+    shown: Arc<str>,
+    socket: ClientSocket,
+    opened: Instant,
+    activity: Activity,
+    framing: Mutex<Framing>,
+}
+
+impl Exchange {
+    /// Takes in what was received.
+    fn received(&self, bytes: &[u8]) {
+        self.activity.received();
+        self.framing.lock().unwrap_or_else(PoisonError::into_inner).received(bytes);
+    }
+
+    /// Answers one request.
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
+        let open = self.activity.begin();
+        let by = if open.is_first { self.opened } else { Instant::now() } + REQUEST_TIME;
+        let body = body_bytes(request.headers());
+        let mut in_flight = self.front.begin(request.uri());
+        let context =
+            Context { front: &self.front, who: &self.who, shown: self.shown.clone(), by, open: &open };
+        let mut response = handle(request, context, &mut in_flight).await;
+        if let Some(in_flight) = in_flight {
+            if let Some(reason) = response.extensions().get() {
+                in_flight.refused(*reason);
+            }
+            in_flight.answered(response.status().as_u16());
+        }
+        let has_more = self.has_more(body);
+        if *self.front.phase.borrow() > Phase::Open && !has_more {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        Ok(response)
+    }
+
+    /// Whether the client may have sent more than the request that ends here, with a body of so many bytes.
+    fn has_more(&self, body: Option<u64>) -> bool {
+        let pipelined = self.framing.lock().unwrap_or_else(PoisonError::into_inner).end_of_request(body);
+        pipelined || self.socket.has_unread()
+    }
+}
+
+/// The status that hyper has answered nonsense with, if it has.
+fn status_of(error: &hyper::Error) -> Option<u16> {
+    let status = match error.is_parse_too_large() {
+        true => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+        false => StatusCode::BAD_REQUEST,
+    };
+    (error.is_parse() && !error.is_parse_version_h2()).then_some(status.as_u16())
+}
