Ask discovery again within 3.5 s of the last call, so that its answer is there in 6 s

Cause: after failed calls the windows grew to must_ask_in less a call (7.5 s of 10) and told_by to four times must_ask_in, so that a list could come 9,962 ms after discovery's return; a change counts as told 6 s after it.

Change: a call begins at most 3.5 s (6 s less a call) after the one before it began, or after the last sign of life. The first failed call is followed by full jitter over that period; from then on each caller keeps its phase, which spreads evenly within the bound. Seldom is bounded likewise.

--- a/crates/listclock/src/lib.rs
+++ b/crates/listclock/src/lib.rs
@@ -4,9 +4,10 @@
 //!
 //! Whoever drives it asks [`Clock::due`] when to come back, calls [`Clock::ring`] then, carries out the order, and
 //! says with [`Clock::heard`] what came of it. Where many meet (a start, the end of an outage) calls are spread by
-//! full jitter, evenly over a window, which of all ways spreads best ("Exponential Backoff and Jitter", AWS
-//! Architecture Blog, 2015); the windows end before what was missed counts as told. Why they are as wide as they
-//! are: `docs/design/list-clock.md`.
+//! full jitter, evenly over a window ("Exponential Backoff and Jitter", AWS Architecture Blog, 2015). Whoever fails
+//! again keeps the phase that it drew, one [`RETRY_PERIOD`] after the other: so a call begins within a period of the
+//! moment at which discovery returns, whatever that moment is, and callers stay spread evenly over it. Why the windows
+//! are as wide as they are: `docs/design/list-clock.md`.
 
 use oorandom::Rand64;
 
@@ -20,12 +21,18 @@
 pub const SILENCE: Millis = 3_000.0;
 /// From its first byte on a list must be whole in this time: what never ends is no sign of life.
 pub const VALUE: Millis = 3_000.0;
-/// What a silent watch misses counts as told so long after it fell silent.
-pub const SILENT_TOLD: Millis = 6_000.0;
+/// What a silent watch misses counts as told so long after it fell silent; and whatever became of the calls, a change
+/// counts as told so long after discovery had it and could be reached.
+pub const MISSED_TOLD: Millis = 6_000.0;
+/// The longest time from the last sign of life of discovery, or from the begin of a call that failed, to the begin of
+/// the next call, which then has [`CALL`] left to be answered before what was missed counts as told.
+pub const RETRY_PERIOD: Millis = MISSED_TOLD - CALL;
 /// What was listed counts as told so long after discovery moved.
 const MOVED_TOLD: Millis = 4_000.0;
-/// After a failed call the settings' time for asking counts so many times.
-const FAILED: f64 = 4.0;
+
+/// From the second failure in a row on, a wait ends within this last share of what it may take: callers that were
+/// spread once stay spread, and do not lock into step with anything periodic.
+const STEADY_SHARE: f64 = 0.05;
 
 /// The first call is spread over so much where nothing is known and all are refused until it is answered...
 const EMPTY_WINDOW: Millis = 200.0;
@@ -35,12 +42,19 @@
 const MOVED_WINDOW: Millis = 500.0;
 /// A watch that broke is asked for again within this, whether it broke alone or with all others: they spread over it.
 const BROKEN_WINDOW: Millis = 900.0;
-/// The same where lists are pushed and count as told at once, and the longest window there.
-const PUSHED_WINDOWS: [Millis; 2] = [300.0, 1_200.0];
-/// Where the time for asking is known, calls that fail are spread over this share of it, then twice that and so on.
+/// The same where lists are pushed and count as told at once...
+const BROKEN_WINDOW_PUSHED: Millis = 300.0;
+/// ...and the time from one call that fails to the next there.
+const RETRY_PERIOD_PUSHED: Millis = 1_200.0;
+/// Where the time for asking is known, the first call of a process comes within this share of it; so do those after
+/// calls that failed, as long as there is no list.
 const ASK_SHARE: f64 = 0.25;
-/// The narrowest window for calls that fail, also where what was missed is about to count as told.
+/// The narrowest window for calls that fail, also where what was missed is about to count as told...
 const LEAST_WINDOW: Millis = 400.0;
+/// ...and the shortest wait after one.
+const LEAST_WAIT: Millis = 200.0;
+/// Two times that differ by less are the same.
+const SAME: Millis = 1.0;
 /// A watch that ended sooner than this after its answer was short. So many in a row are asked for again as if
 /// nothing were amiss; from then on they are waited for like calls that failed.
 const SHORT: Millis = 2_000.0;
@@ -142,6 +156,9 @@
     told_by: Millis,
     /// Whether that stands also when further calls fail.
     stands: bool,
+    /// The last sign of life, or when the last call began, if that failed: the next one begins within
+    /// [`RETRY_PERIOD`] of it.
+    contact: Millis,
 }
 
 impl Clock {
@@ -151,11 +168,11 @@
         let window = match (start, rules.must_ask_in) {
             (Start::Empty, _) => EMPTY_WINDOW,
             (Start::Moved, _) => MOVED_WINDOW,
-            (Start::Known, Some(must_ask_in)) => ASK_SHARE * must_ask_in,
+            (Start::Known, Some(must_ask_in)) => (ASK_SHARE * must_ask_in).min(RETRY_PERIOD),
             (Start::Known, None) => PUSHED_START,
         };
         let moved = start == Start::Moved;
-        let counts_in = if moved { MOVED_TOLD } else { rules.must_ask_in.unwrap_or(0.0) };
+        let counts_in = if moved { MOVED_TOLD } else { rules.must_ask_in.unwrap_or(0.0).min(MISSED_TOLD) };
         Clock {
             rules,
             state: State::Waiting { until: now + window * rng.rand_float() },
@@ -166,6 +183,7 @@
             short: 0,
             told_by: now + counts_in,
             stands: moved,
+            contact: now,
         }
     }
 
@@ -197,7 +215,8 @@
                 Some(Order::GiveUp)
             }
             State::Watching { alive, .. } => {
-                (self.told_by, self.stands) = (alive + SILENT_TOLD, true);
+                (self.told_by, self.stands) = (alive + MISSED_TOLD, true);
+                self.contact = alive;
                 self.wait(now);
                 Some(Order::GiveUp)
             }
@@ -232,10 +251,12 @@
                 (self.failures, self.stands) = (0, false);
             }
             (State::Calling { since }, Heard::Ended) => {
-                let since = *since;
+                self.contact = *since;
                 self.failures += 1;
-                if let Some(must_ask_in) = self.rules.must_ask_in.filter(|_| !self.stands) {
-                    self.told_by = self.told_by.max(since + FAILED * must_ask_in);
+                // What was missed before stands until it counts as told; from then on only what comes is missed.
+                self.stands &= now < self.told_by;
+                if self.rules.must_ask_in.is_some() && !self.stands {
+                    self.told_by = self.told_by.max(self.contact + MISSED_TOLD);
                 }
                 self.wait(now);
             }
@@ -244,9 +265,12 @@
                 self.empty &= what != Heard::List;
             }
             (State::Watching { inside, .. }, Heard::Part) => *inside = inside.or(Some(now)),
-            (State::Watching { since, .. }, Heard::Ended) => {
+            (State::Watching { since, alive, .. }, Heard::Ended) => {
                 self.short = if now < *since + SHORT { self.short + 1 } else { 0 };
-                self.told_by = now + self.rules.must_ask_in.unwrap_or(0.0);
+                self.contact = *alive;
+                let within =
+                    self.rules.must_ask_in.map(|within| (now + within).min(self.contact + MISSED_TOLD));
+                self.told_by = within.unwrap_or(now);
                 self.wait(now);
             }
             (State::Waiting { .. } | State::Calling { .. } | State::Watching { .. }, _) => {}
@@ -258,43 +282,69 @@
     pub fn told_by(&self) -> Millis {
         match self.state {
             State::Watching { .. } if !self.rules.can_fall_silent => Millis::INFINITY,
-            State::Watching { alive, .. } => alive + SILENT_TOLD,
+            State::Watching { alive, .. } => alive + MISSED_TOLD,
             State::Waiting { .. } | State::Calling { .. } => self.told_by,
         }
     }
 
     /// Draws when to call again.
     fn wait(&mut self, now: Millis) {
-        let (mut window, mut least) = (self.window(), 0.0);
-        match self.pace {
-            Pace::Usual => {}
-            Pace::Seldom => window *= SELDOM,
+        let latest = self.latest(now);
+        let until = match self.pace {
             Pace::Often => {
-                least = OFTEN_LEAST;
                 let often = self.rules.must_ask_in.map_or(0.0, |within| within * OFTEN_SHARE);
-                window = (window.min(often) - least).max(0.0);
+                let longest = self.window().min(often).min(latest - now);
+                self.between(now + OFTEN_LEAST, now + longest)
             }
-        }
-        if now < self.told_by {
-            // The call's answer has to come before that, as far as that is still to be had, whoever else asks.
-            window = window.min((self.told_by - CALL - now).max(LEAST_WINDOW));
-        }
-        self.state = State::Waiting { until: now + least + window * self.rng.rand_float() };
+            Pace::Usual | Pace::Seldom => {
+                let times = if self.pace == Pace::Seldom { SELDOM } else { 1.0 };
+                let period = (times * self.period()).min(RETRY_PERIOD);
+                let (steady, end) = (self.contact + period * (1.0 - STEADY_SHARE), self.contact + period);
+                if self.failed_in_a_row() >= 2 && now < steady && end <= latest + SAME {
+                    self.between(steady, end)
+                } else {
+                    let least = if self.failures > 0 { LEAST_WAIT } else { 0.0 };
+                    let window = (times * self.window()).min(latest - now);
+                    self.between(now + least, now + window)
+                }
+            }
+        };
+        self.state = State::Waiting { until };
+    }
+
+    /// When the next call has to begin so that its answer comes before what is missed counts as told, as far as that
+    /// is still to be had, whoever else asks.
+    fn latest(&self, now: Millis) -> Millis {
+        let in_period = self.contact + RETRY_PERIOD;
+        let latest = if now < self.told_by { in_period.min(self.told_by - CALL) } else { in_period };
+        latest.max(now + LEAST_WINDOW)
+    }
+
+    /// A time drawn evenly; the first, where the second is not later.
+    fn between(&mut self, first: Millis, last: Millis) -> Millis {
+        first + (last - first).max(0.0) * self.rng.rand_float()
+    }
+
+    /// Calls that failed, and watches that were short beyond those that are free.
+    fn failed_in_a_row(&self) -> u32 {
+        self.failures + self.short.saturating_sub(SHORT_FREE)
     }
 
     /// The window for the next call by what came before it alone.
     fn window(&self) -> Millis {
-        let step = self.failures + self.short.saturating_sub(SHORT_FREE);
-        let [first, longest] = match self.rules.must_ask_in {
-            None => PUSHED_WINDOWS,
-            Some(_) if step == 0 => return BROKEN_WINDOW,
-            Some(must_ask_in) => {
-                let first = (ASK_SHARE * must_ask_in).max(LEAST_WINDOW);
-                // Who has no list refuses all. Else the wait and the call after it fit into the time for asking.
-                [first, if self.empty { first } else { first.max(must_ask_in - CALL) }]
-            }
-        };
-        let doublings = if self.rules.must_ask_in.is_some() { step - 1 } else { step };
-        (first * 2f64.powi(doublings.min(16) as i32)).min(longest)
+        match (self.failed_in_a_row(), self.rules.must_ask_in) {
+            (0, None) => BROKEN_WINDOW_PUSHED,
+            (0, Some(_)) => BROKEN_WINDOW,
+            _ => self.period(),
+        }
+    }
+
+    /// The time from the begin of one call to that of the next while calls fail.
+    fn period(&self) -> Millis {
+        let Some(must_ask_in) = self.rules.must_ask_in else { return RETRY_PERIOD_PUSHED };
+        let first = (ASK_SHARE * must_ask_in).max(LEAST_WINDOW);
+        // Who has no list refuses all. Else the wait and the call after it fit into the time for asking.
+        let period = if self.empty { first } else { first.max(must_ask_in - CALL) };
+        period.min(RETRY_PERIOD)
     }
 }
