Ask for the whole list where some of the known one could not be read or it is empty

Seen: with a known list of no servers, or of none that can be read, a process was never ready where discovery tells what changed since: it asked for changes after a list that it did not have, and "nothing has changed" made it not ready (a_process_that_knows_of_no_server_asks_for_the_whole_list waits in vain for 30 s before). On a watch, an entry that could not be read was passed over until its server's next change, and one that said "draining" beside a broken field left its server in use. An absurd list was kept as JSON values, many times its size.

Lines: Engine::listed (make_ready, version), HostList::list.

That a server leaves is taken from a broken entry too.

Ruled out: a list that names servers, ready or draining, makes ready before discovery answers (test).

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,7 +7,7 @@
 use sagemast::settings::Config as SettingsObject;
 use serde::Deserialize;
 
-use crate::rosters::discovery::HostList;
+use crate::rosters::host_list::HostList;
 
 /// The configuration file.
 #[derive(Deserialize)]
--- a/crates/node/src/engine/list.rs
+++ b/crates/node/src/engine/list.rs
@@ -16,9 +16,10 @@
 impl Engine {
     /// Takes in a list or what changed in it; `restored`, it is the one held before a restart.
     pub(super) fn listed(&mut self, list: List, restored: bool) {
-        self.version = list.version;
+        self.resume_from = list.resume_from;
         let whole = list.whole || restored;
         let mut listings: Vec<Listing> = list.entries.iter().map(|entry| self.update(entry)).collect();
+        listings.extend(list.leaving.iter().filter_map(|name| self.leave_server(name)));
         if whole {
             // An entry that cannot be read is not missing: what was known of its host stands.
             let unread = list.unread.iter().filter_map(|name| self.names.get(name));
@@ -35,7 +36,8 @@
         if self.names.len() > NAMES {
             self.forget();
         }
-        self.intake.make_ready(!listings.is_empty() || (whole && !restored));
+        // Whatever discovery says, also that nothing has changed, is all that there is.
+        self.intake.make_ready(!restored || !listings.is_empty());
         // A process that has no list yet has been told none.
         if self.acting.is_some() && !(restored && listings.is_empty()) {
             let entries = listings.iter().filter_map(|listing| {
@@ -97,6 +99,18 @@
         listing
     }
 
+    /// Takes in that an upstream wants nothing new; `None` for one that is not known.
+    fn leave_server(&mut self, name: &str) -> Option<Listing> {
+        let id = *self.names.get(name)?;
+        let server = self.servers.get_mut(&id)?;
+        server.listing.lifecycle = Lifecycle::Leaving;
+        if let Some(entry) = &mut server.entry {
+            entry.serving = false;
+        }
+        self.transport.met(id, server.peer());
+        Some(server.listing.clone())
+    }
+
     /// Forgets upstreams that are gone, so that names do not pile up.
     fn forget(&mut self) {
         let busy: HashSet<UpstreamId> = self.sent.values().map(|sent| sent.upstream).collect();
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -149,7 +149,8 @@
     inbox: mpsc::UnboundedReceiver<Happening>,
     transport: Box<dyn Transport>,
     roster: Box<dyn Roster>,
-    version: u64,
+    /// Where a roster that is followed anew goes on from.
+    resume_from: u64,
     following: Option<Following>,
     epoch: Instant,
     /// Unix time at the epoch, in milliseconds.
@@ -217,7 +218,7 @@
             inbox: inbox.0,
             transport,
             roster,
-            version: 0,
+            resume_from: 0,
             following: None,
             epoch: Instant::now(),
             epoch_unix_ms,
@@ -260,7 +261,7 @@
 
     /// Follows the roster from here on.
     fn follow(&mut self, start: Start) {
-        self.following = Some(self.roster.follow(self.version, start));
+        self.following = Some(self.roster.follow(self.resume_from, start));
     }
 
     /// The module's clock.
--- a/crates/node/src/engine/roster.rs
+++ b/crates/node/src/engine/roster.rs
@@ -14,14 +14,19 @@
 /// A list of upstreams, or what changed in it.
 #[derive(Debug, Clone, Default)]
 pub struct List {
-    /// Its version: where a source that is followed anew goes on from. 0 where nothing is held.
+    /// Its version.
     pub version: u64,
+    /// Where a source that is followed anew goes on from: its version, or 0 if the whole list is wanted, since some of
+    /// this one could not be read or nothing is held.
+    pub resume_from: u64,
     /// Whether who is missing is gone.
     pub whole: bool,
     /// Its entries.
     pub entries: Vec<Entry>,
     /// Names of upstreams whose entries could not be read: what was known of them stands.
     pub unread: Vec<String>,
+    /// Names of upstreams of which no more could be read than that they want nothing new.
+    pub leaving: Vec<String>,
 }
 
 /// An upstream as a roster tells it. Its figures are finite.
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -15,105 +15,16 @@
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use listclock::{Clock, Heard, Millis, Order, Pace, Rules};
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::engine::{Entry, Following, List, News, Roster, Start};
+use crate::engine::{Following, News, Roster, Start};
 use crate::log;
+use crate::rosters::host_list::HostList;
 use crate::rosters::values::Values;
 
-/// A list, or what changed in it, in discovery's form.
-#[derive(Deserialize)]
-pub struct HostList {
-    /// Its version.
-    pub seq: u64,
-    /// Whether it is complete.
-    #[serde(default)]
-    pub whole: bool,
-    /// Its entries, each decoded by itself: one that is broken must not take the others with it.
-    pub hosts: Vec<serde_json::Value>,
-}
-
-/// An upstream as discovery tells it.
-#[derive(Deserialize, Clone)]
-pub struct Host {
-    /// Its name, the same at every sidecar.
-    pub host: String,
-    /// Where it listens.
-    pub dial: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub site: String,
-    /// Its kind of machine.
-    #[serde(default)]
-    pub class: String,
-    /// Its cell.
-    #[serde(default)]
-    pub block: u64,
-    /// Whether it takes new work.
-    pub health: Health,
-    /// Its size compared with others.
-    #[serde(default = "one")]
-    pub share: f64,
-    /// When it last started, in Unix milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub born_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// Whether an upstream takes new work.
-#[derive(Deserialize, Clone, Copy, PartialEq, Eq, Debug)]
-#[serde(rename_all = "snake_case")]
-pub enum Health {
-    /// It does.
-    Ready,
-    /// It finishes what it has.
-    Draining,
-    /// It is no more.
-    Gone,
-}
-
-impl HostList {
-    /// The list in the engine's terms. Entries that cannot be read are logged and left out.
-    pub fn list(&self) -> List {
-        let mut list = List { version: self.seq, whole: self.whole, ..List::default() };
-        for entry in &self.hosts {
-            match Host::deserialize(entry) {
-                Ok(host) if host.share.is_finite() && host.born_ms.is_finite() => {
-                    list.entries.push(host.entry())
-                }
-                Ok(host) => log::line(format!("discovery: absurd figures for {}", host.host)),
-                Err(error) => {
-                    log::line(format!("discovery: an entry cannot be read: {error}"));
-                    list.unread.extend(entry.get("host").and_then(|name| name.as_str()).map(str::to_owned));
-                }
-            }
-        }
-        list
-    }
-}
-
-impl Host {
-    fn entry(self) -> Entry {
-        Entry {
-            host: self.host,
-            dial: self.dial,
-            zone: self.site,
-            kind: self.class,
-            cell: self.block,
-            serving: self.health == Health::Ready,
-            weight: self.share,
-            started_ms: self.born_ms,
-        }
-    }
-}
-
 /// Discovery at an address.
 pub struct Source {
     /// Where it listens.
@@ -249,14 +160,14 @@
             let frame = frame.context("the watch ended")??;
             let Ok(chunk) = frame.into_data() else { continue };
             let lists = values.push(&chunk).inspect_err(|_| self.version = 0)?;
-            let heard = match (lists.is_empty(), values.is_inside()) {
-                (true, true) => Heard::Part,
-                (true, false) => Heard::KeepAlive,
-                (false, _) => Heard::List,
-            };
-            self.clock.heard(self.millis(), heard);
-            if heard == Heard::List && values.is_inside() {
-                self.clock.heard(self.millis(), Heard::Part);
+            let now = self.millis();
+            if !lists.is_empty() {
+                self.clock.heard(now, Heard::List);
+            }
+            if values.is_inside() {
+                self.clock.heard(now, Heard::Part);
+            } else if lists.is_empty() {
+                self.clock.heard(now, Heard::KeepAlive);
             }
             lists.iter().try_for_each(|list| self.tell(list))?;
         }
@@ -276,29 +187,12 @@
             let held = std::mem::take(&mut self.version);
             bail!("changes up to {} came after {held}", list.seq);
         }
-        self.version = list.seq;
+        let list = list.list();
+        self.version = list.resume_from;
         self.before = None;
-        if !self.news.listed(list.list()) {
+        if !self.news.listed(list) {
             bail!("the engine has ended");
         }
         Ok(())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_broken_entry_leaves_the_others() {
-        let list: HostList = serde_json::from_str(
-            r#"{"seq":4,"hosts":[{"host":"a","dial":"127.0.0.1:1","health":"ready"},
-            {"host":"b","dial":"nowhere","health":"ready"},{"host":"c","dial":"127.0.0.1:1","health":"odd"}, 7]}"#,
-        )
-        .unwrap();
-        let list = list.list();
-        let names: Vec<String> = list.entries.into_iter().map(|host| host.host).collect();
-        assert_eq!(names, ["a"]);
-        assert_eq!(list.unread, ["b", "c"], "what cannot be read is not missing");
-    }
-}
--- a/crates/node/src/rosters/mod.rs
+++ b/crates/node/src/rosters/mod.rs
@@ -1,4 +1,5 @@
 //! Where the list of upstreams comes from. Each source implements [`crate::engine::Roster`].
 
 pub mod discovery;
+pub mod host_list;
 mod values;
