Take only an empty line between lists as a watch's sign of life

Seen: a watch on which single spaces come, and no line, was held for ever (case "space between lists is no empty line": no second call in 30 s, asked and pushed).

Lines: rosters/discovery.rs, Watch::once: any piece without a list, outside of one, counted as an empty line. Ruled out: space and newlines within a list that is not whole; they were no sign of life before either (case).

--- a/crates/harelock/tests/discovery_failures.rs
+++ b/crates/harelock/tests/discovery_failures.rs
@@ -27,7 +27,7 @@
 /// A busy machine is late by this.
 const LATE: u64 = 250;
 
-const CASES: [Case; 7] = [
+const CASES: [Case; 8] = [
     Case {
         name: "silent before the head",
         fails: |watch| watch.hold(false),
@@ -65,6 +65,17 @@
         pushed: [200, 1_200],
     },
     Case { name: "ends before the head", fails: |_| {}, asked: [200, PERIOD], pushed: [200, 1_200] },
+    Case {
+        name: "space between lists is no empty line",
+        fails: |watch| {
+            watch.raw(HEAD);
+            while watch.say(" ") {
+                sleep(Duration::from_millis(50));
+            }
+        },
+        asked: [3_000, PERIOD],
+        pushed: [3_000, PERIOD],
+    },
     Case {
         name: "empty lines inside a list are no life",
         fails: |watch| {
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -166,7 +166,8 @@
             }
             if values.is_inside() {
                 self.clock.heard(now, Heard::Part);
-            } else if lists.is_empty() {
+            } else if lists.is_empty() && chunk.contains(&b'\n') {
+                // An empty line between lists. Other space there says nothing.
                 self.clock.heard(now, Heard::KeepAlive);
             }
             lists.iter().try_for_each(|list| self.tell(list))?;
