Wait for a descriptor for discovery instead of failing the call

Seen: with fewer descriptors than the configuration says, all held by clients, a call to discovery counted as failed, and the next came after the wait for an outage (to 3.5 s), though discovery was there.

Change: such a call is tried again each 0.1 s within its 2.5 s, with one log line a call.

--- a/crates/harelock/tests/discovery_failures.rs
+++ b/crates/harelock/tests/discovery_failures.rs
@@ -254,5 +254,31 @@
     let (returned, before) = (Instant::now(), discovery.count());
     let back = discovery.calls(before + 1)[before].at - returned;
     assert!(back <= Duration::from_millis(PERIOD + LATE), "{back:?}");
+    assert_eq!(sidecar.count(&["waiting for a descriptor"]), 0);
     assert_eq!(sidecar.count(&["cannot accept"]), 0);
 }
+
+/// Guards against waits after failed calls where nothing but a descriptor was missing: they are retried soon, and the
+/// log has one line for each call.
+#[test]
+fn without_a_descriptor_discovery_is_asked_as_soon_as_there_is_one() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let known = ready(&[&upstream]);
+    let up = Arc::new(AtomicBool::new(true));
+    let discovery = down_then_up(&up, known.clone());
+    // Told that there are many descriptors, it finds that there are few.
+    let text = config("127.0.0.1:0", discovery.address, NOTHING, 1024, &settings(true));
+    let sidecar = Sidecar::start_with(&text, Some(24));
+    sidecar.wait_up();
+    up.store(false, Ordering::SeqCst);
+    let clients: Vec<Client> = (0..60).map(|_| Client::to(sidecar.address)).collect();
+    until("it lacks a descriptor", || sidecar.count(&["waiting for a descriptor"]) > 0);
+    sleep(Duration::from_secs(1));
+    let lines = sidecar.count(&["waiting for a descriptor"]);
+    assert!(lines <= 3, "{lines} lines");
+    up.store(true, Ordering::SeqCst);
+    let (freed, before) = (Instant::now(), discovery.count());
+    drop(clients);
+    let back = discovery.calls(before + 1)[before].at - freed;
+    assert!(back <= Duration::from_millis(PERIOD + LATE), "{back:?}");
+}
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -18,13 +18,16 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::engine::{Following, News, Roster, Start};
 use crate::log;
 use crate::rosters::host_list::HostList;
 use crate::rosters::values::Values;
 
+/// Where no descriptor is left for a call, the next try comes so much later.
+const DESCRIPTOR_RETRY: Duration = Duration::from_millis(100);
+
 /// Discovery at an address.
 pub struct Source {
     /// Where it listens.
@@ -86,6 +89,30 @@
     std::future::pending().await
 }
 
+/// Connects, and waits for a descriptor where none is left: that is no fault of discovery's. Whoever calls this bounds
+/// how long.
+async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let mut is_told = false;
+    loop {
+        match TcpStream::connect(address).await {
+            Err(error) if is_out_of_descriptors(&error) => {
+                if !std::mem::replace(&mut is_told, true) {
+                    log::line(format!("discovery: waiting for a descriptor: {error}"));
+                }
+                sleep(DESCRIPTOR_RETRY).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Whether the process (EMFILE) or the system (ENFILE) can open no more files.
+fn is_out_of_descriptors(error: &std::io::Error) -> bool {
+    const ENFILE: i32 = 23;
+    const EMFILE: i32 = 24;
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
+}
+
 impl Watch {
     /// Calls and watches as the clock says.
     async fn keep(mut self) {
@@ -139,7 +166,7 @@
 
     async fn once(&mut self) -> Result<Infallible> {
         const LATE: &str = "no answer in time";
-        let stream = self.within(LATE, TcpStream::connect(self.address)).await?.context("cannot connect")?;
+        let stream = self.within(LATE, connect(self.address)).await?.context("cannot connect")?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         // It ends with this call.
         let mut tasks = JoinSet::new();
