--- a/crates/listclock/src/lib.rs
+++ b/crates/listclock/src/lib.rs
@@ -1,9 +1,9 @@
 //! The clock of the list: when discovery is called, when a call or a watch is given up, and by when what it would have
 //! told counts as told. No I/O, no clock and no randomness of its own: time, seed and what happened go in, the next
-//! order comes out. The sidecar on sockets and the simulator's adapter follow the same clock.
+//! command comes out. The sidecar on sockets and the simulator's adapter follow the same clock.
 //!
-//! Whoever drives it asks [`Clock::due`] when to come back, calls [`Clock::ring`] then, carries out the order, and
-//! says with [`Clock::heard`] what came of it. Where many meet (a start, the end of an outage) calls are spread by
+//! Whoever drives it asks [`Clock::due`] when to come back, calls [`Clock::poll`] then, carries out the command, and
+//! says with [`Clock::observe`] what came of it. Where many meet (a start, the end of an outage) calls are spread by
 //! full jitter, evenly over a window ("Exponential Backoff and Jitter", AWS Architecture Blog, 2015). Whoever fails
 //! again keeps the phase that it drew, one [`RETRY_PERIOD`] after the other: so a call begins within a period of the
 //! moment at which discovery returns, whatever that moment is, and callers stay spread evenly over it. Why the windows
@@ -17,7 +17,7 @@
 /// A call must be answered in this time, connecting included.
 pub const CALL: Millis = 2_500.0;
 /// While nothing changes an empty line comes every 2 s. A watch without a line or a list for so long is dead: with the
-/// first window and a call after it there is an answer by [`SILENT_TOLD`] unless that call takes long.
+/// first window and a call after it there is an answer by [`MISSED_TOLD`] unless that call takes long.
 pub const SILENCE: Millis = 3_000.0;
 /// From its first byte on a list must be whole in this time: what never ends is no sign of life.
 pub const VALUE: Millis = 3_000.0;
@@ -86,9 +86,9 @@
     Moved,
 }
 
-/// What came of an order, or on a watch.
+/// What came of a command, or on a watch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Heard {
+pub enum ListEvent {
     /// The call was answered: a watch is open.
     Answered,
     /// A whole list, or a whole set of changes.
@@ -103,10 +103,10 @@
 
 /// What is to be done now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Order {
+pub enum Command {
     /// Call discovery.
     Call,
-    /// Drop the call or the watch. No [`Heard::Ended`] is owed for it.
+    /// Drop the call or the watch. No [`ListEvent::Ended`] is owed for it.
     GiveUp,
 }
 
@@ -153,7 +153,7 @@
     failures: u32,
     short: u32,
     /// When what is missed counts as told, while no watch is open.
-    told_by: Millis,
+    counts_at: Millis,
     /// Whether that stands also when further calls fail.
     stands: bool,
     /// The last sign of life, or when the last call began, if that failed: the next one begins within
@@ -181,7 +181,7 @@
             empty: start == Start::Empty,
             failures: 0,
             short: 0,
-            told_by: now + counts_in,
+            counts_at: now + counts_in,
             stands: moved,
             contact: now,
         }
@@ -192,7 +192,7 @@
         matches!(self.state, State::Calling { .. })
     }
 
-    /// When to ring; `None` where only news can change anything.
+    /// When to poll; `None` where only news can change anything.
     pub fn due(&self) -> Option<Millis> {
         match self.state {
             State::Waiting { until } => Some(until),
@@ -203,22 +203,22 @@
     }
 
     /// What is to be done now, if anything is due.
-    pub fn ring(&mut self, now: Millis) -> Option<Order> {
+    pub fn poll(&mut self, now: Millis) -> Option<Command> {
         self.due().filter(|due| *due <= now)?;
         match self.state {
             State::Waiting { .. } => {
                 self.state = State::Calling { since: now };
-                Some(Order::Call)
+                Some(Command::Call)
             }
             State::Calling { .. } => {
-                self.heard(now, Heard::Ended);
-                Some(Order::GiveUp)
+                self.observe(now, ListEvent::Ended);
+                Some(Command::GiveUp)
             }
             State::Watching { alive, .. } => {
-                (self.told_by, self.stands) = (alive + MISSED_TOLD, true);
+                (self.counts_at, self.stands) = (alive + MISSED_TOLD, true);
                 self.contact = alive;
                 self.wait(now);
-                Some(Order::GiveUp)
+                Some(Command::GiveUp)
             }
         }
     }
@@ -243,34 +243,34 @@
         }
     }
 
-    /// Takes in what came of the last order. What comes while nothing is open is passed over.
-    pub fn heard(&mut self, now: Millis, what: Heard) {
-        match (&mut self.state, what) {
-            (State::Calling { .. }, Heard::Answered) => {
+    /// Takes in what came of the last command. What comes while nothing is open is passed over.
+    pub fn observe(&mut self, now: Millis, event: ListEvent) {
+        match (&mut self.state, event) {
+            (State::Calling { .. }, ListEvent::Answered) => {
                 self.state = State::Watching { since: now, alive: now, inside: None };
                 (self.failures, self.stands) = (0, false);
             }
-            (State::Calling { since }, Heard::Ended) => {
+            (State::Calling { since }, ListEvent::Ended) => {
                 self.contact = *since;
                 self.failures += 1;
                 // What was missed before stands until it counts as told; from then on only what comes is missed.
-                self.stands &= now < self.told_by;
+                self.stands &= now < self.counts_at;
                 if self.rules.must_ask_in.is_some() && !self.stands {
-                    self.told_by = self.told_by.max(self.contact + MISSED_TOLD);
+                    self.counts_at = self.counts_at.max(self.contact + MISSED_TOLD);
                 }
                 self.wait(now);
             }
-            (State::Watching { alive, inside, .. }, Heard::List | Heard::KeepAlive) => {
+            (State::Watching { alive, inside, .. }, ListEvent::List | ListEvent::KeepAlive) => {
                 (*alive, *inside) = (now, None);
-                self.empty &= what != Heard::List;
+                self.empty &= event != ListEvent::List;
             }
-            (State::Watching { inside, .. }, Heard::Part) => *inside = inside.or(Some(now)),
-            (State::Watching { since, alive, .. }, Heard::Ended) => {
+            (State::Watching { inside, .. }, ListEvent::Part) => *inside = inside.or(Some(now)),
+            (State::Watching { since, alive, .. }, ListEvent::Ended) => {
                 self.short = if now < *since + SHORT { self.short + 1 } else { 0 };
                 self.contact = *alive;
                 let within =
                     self.rules.must_ask_in.map(|within| (now + within).min(self.contact + MISSED_TOLD));
-                self.told_by = within.unwrap_or(now);
+                self.counts_at = within.unwrap_or(now);
                 self.wait(now);
             }
             (State::Waiting { .. } | State::Calling { .. } | State::Watching { .. }, _) => {}
@@ -279,11 +279,11 @@
 
     /// The earliest time at which something that is missed from now on counts as told; infinite while a watch is
     /// open that tells its end.
-    pub fn told_by(&self) -> Millis {
+    pub fn counts_at(&self) -> Millis {
         match self.state {
             State::Watching { .. } if !self.rules.can_fall_silent => Millis::INFINITY,
             State::Watching { alive, .. } => alive + MISSED_TOLD,
-            State::Waiting { .. } | State::Calling { .. } => self.told_by,
+            State::Waiting { .. } | State::Calling { .. } => self.counts_at,
         }
     }
 
@@ -316,7 +316,7 @@
     /// is still to be had, whoever else asks.
     fn latest(&self, now: Millis) -> Millis {
         let in_period = self.contact + RETRY_PERIOD;
-        let latest = if now < self.told_by { in_period.min(self.told_by - CALL) } else { in_period };
+        let latest = if now < self.counts_at { in_period.min(self.counts_at - CALL) } else { in_period };
         latest.max(now + LEAST_WINDOW)
     }
 
--- a/crates/listclock/tests/table.rs
+++ b/crates/listclock/tests/table.rs
@@ -19,8 +19,8 @@
     (0..size).map(move |seed| {
         let mut clock = Clock::new(rules, Start::Known, seed, 0.0);
         call(&mut clock);
-        clock.heard(1_000.0, Heard::Answered);
-        clock.heard(1_000.0, Heard::List);
+        clock.observe(1_000.0, ListEvent::Answered);
+        clock.observe(1_000.0, ListEvent::List);
         clock
     })
 }
@@ -28,8 +28,8 @@
 /// Lets the next call be due; when it was.
 fn call(clock: &mut Clock) -> Millis {
     let at = clock.due().expect("a time");
-    assert_eq!(clock.ring(at - 0.01), None, "not before its time");
-    assert_eq!(clock.ring(at), Some(Order::Call));
+    assert_eq!(clock.poll(at - 0.01), None, "not before its time");
+    assert_eq!(clock.poll(at), Some(Command::Call));
     at
 }
 
@@ -57,20 +57,20 @@
     for rules in [ASKED, PUSHED] {
         for mut clock in watching(rules) {
             for at in [2_900.0, 4_800.0] {
-                clock.heard(at, Heard::KeepAlive);
+                clock.observe(at, ListEvent::KeepAlive);
             }
-            assert_eq!((clock.due(), clock.told_by()), (Some(7_800.0), 10_800.0));
-            assert_eq!(clock.ring(7_800.0), Some(Order::GiveUp));
+            assert_eq!((clock.due(), clock.counts_at()), (Some(7_800.0), 10_800.0));
+            assert_eq!(clock.poll(7_800.0), Some(Command::GiveUp));
             let at = call(&mut clock);
             assert!(at <= 8_800.0, "{at}");
-            assert_eq!(clock.told_by(), 10_800.0, "a call alone does not put it off");
+            assert_eq!(clock.counts_at(), 10_800.0, "a call alone does not put it off");
             // The call fails at once, by an overfull discovery: there is time for another.
-            clock.heard(at + 100.0, Heard::Ended);
-            assert_eq!(clock.told_by(), 10_800.0);
+            clock.observe(at + 100.0, ListEvent::Ended);
+            assert_eq!(clock.counts_at(), 10_800.0);
             let next = call(&mut clock) - at;
             assert!(next <= 600.0, "{next}");
-            clock.heard(at + next + 10.0, Heard::Answered);
-            assert_eq!(clock.told_by(), at + next + 10.0 + MISSED_TOLD);
+            clock.observe(at + next + 10.0, ListEvent::Answered);
+            assert_eq!(clock.counts_at(), at + next + 10.0 + MISSED_TOLD);
         }
     }
 }
@@ -81,16 +81,16 @@
     for mut clock in watching(ASKED).take(3) {
         for part in 0..30 {
             let at = 2_000.0 + 100.0 * f64::from(part);
-            assert_eq!(clock.ring(at), None);
-            clock.heard(at, Heard::Part);
+            assert_eq!(clock.poll(at), None);
+            clock.observe(at, ListEvent::Part);
         }
-        assert_eq!((clock.due(), clock.told_by()), (Some(5_000.0), 7_000.0));
-        assert_eq!(clock.ring(5_000.0), Some(Order::GiveUp));
+        assert_eq!((clock.due(), clock.counts_at()), (Some(5_000.0), 7_000.0));
+        assert_eq!(clock.poll(5_000.0), Some(Command::GiveUp));
         // One that is whole in time is life.
         call(&mut clock);
-        clock.heard(7_000.0, Heard::Answered);
-        clock.heard(9_000.0, Heard::Part);
-        clock.heard(9_500.0, Heard::List);
+        clock.observe(7_000.0, ListEvent::Answered);
+        clock.observe(9_000.0, ListEvent::Part);
+        clock.observe(9_500.0, ListEvent::List);
         assert_eq!(clock.due(), Some(9_500.0 + SILENCE));
     }
 }
@@ -102,21 +102,21 @@
             let (mut now, mut calls) = (1_500.0, 0);
             while now < 61_500.0 {
                 // Each watch ends as soon as it has told its list: a plain answer.
-                clock.heard(now, Heard::Ended);
+                clock.observe(now, ListEvent::Ended);
                 let alive = if calls == 0 { 1_000.0 } else { now };
                 let counts = if rules == ASKED { alive + MISSED_TOLD } else { now };
-                assert_eq!(clock.told_by(), counts);
+                assert_eq!(clock.counts_at(), counts);
                 let at = call(&mut clock);
                 assert!(calls > 1 || at - now <= first, "{}", at - now);
                 assert!(at - now <= RETRY_PERIOD);
                 (now, calls) = (at + 10.0, calls + 1);
-                clock.heard(now, Heard::Answered);
-                clock.heard(now, Heard::List);
+                clock.observe(now, ListEvent::Answered);
+                clock.observe(now, ListEvent::List);
             }
             assert!(calls < if rules == ASKED { 25 } else { 70 }, "{calls} in a minute");
             // One that lasted is asked for as if nothing had been.
-            clock.heard(now + 2_000.0, Heard::KeepAlive);
-            clock.heard(now + 2_500.0, Heard::Ended);
+            clock.observe(now + 2_000.0, ListEvent::KeepAlive);
+            clock.observe(now + 2_500.0, ListEvent::Ended);
             assert!(clock.due().expect("a time") <= now + 2_500.0 + first);
         }
     }
@@ -125,15 +125,15 @@
 #[test]
 fn a_call_that_waits_is_given_up_and_counts_as_failed() {
     for mut clock in watching(ASKED) {
-        clock.heard(3_000.0, Heard::KeepAlive);
-        clock.heard(5_000.0, Heard::Ended);
+        clock.observe(3_000.0, ListEvent::KeepAlive);
+        clock.observe(5_000.0, ListEvent::Ended);
         let at = call(&mut clock);
-        assert_eq!((clock.due(), clock.told_by()), (Some(at + CALL), 9_000.0));
-        assert_eq!(clock.ring(at + CALL), Some(Order::GiveUp));
-        assert_eq!(clock.told_by(), at + MISSED_TOLD, "whatever is allowed after a failed call");
+        assert_eq!((clock.due(), clock.counts_at()), (Some(at + CALL), 9_000.0));
+        assert_eq!(clock.poll(at + CALL), Some(Command::GiveUp));
+        assert_eq!(clock.counts_at(), at + MISSED_TOLD, "whatever is allowed after a failed call");
         // What a call given up still says changes nothing.
-        clock.heard(at + CALL, Heard::Answered);
-        clock.heard(at + CALL, Heard::Ended);
+        clock.observe(at + CALL, ListEvent::Answered);
+        clock.observe(at + CALL, ListEvent::Ended);
         assert!(clock.due().expect("a time") <= at + RETRY_PERIOD, "the next call has time to be answered");
     }
 }
@@ -143,13 +143,13 @@
     for rules in [ASKED, PUSHED] {
         for seed in 0..SEEDS {
             let mut clock = Clock::new(rules, Start::Moved, seed, 0.0);
-            assert_eq!(clock.told_by(), 4_000.0);
+            assert_eq!(clock.counts_at(), 4_000.0);
             // The new address refuses at first.
             for _ in 0..3 {
                 let at = call(&mut clock);
                 assert!(at <= 1_500.0 + 450.0, "{at}");
-                clock.heard(at + 1.0, Heard::Ended);
-                assert_eq!(clock.told_by(), 4_000.0);
+                clock.observe(at + 1.0, ListEvent::Ended);
+                assert_eq!(clock.counts_at(), 4_000.0);
             }
         }
     }
@@ -166,15 +166,15 @@
         {
             let (mut back, mut calls) = (Vec::new(), 0);
             for mut clock in fleet(rules, size) {
-                clock.heard(4_000.0, Heard::KeepAlive);
-                clock.heard(5_000.0, Heard::Ended);
+                clock.observe(4_000.0, ListEvent::KeepAlive);
+                clock.observe(5_000.0, ListEvent::Ended);
                 loop {
                     let at = call(&mut clock);
                     calls += 1;
                     if at >= 5_000.0 + outage {
                         break back.push(at - 5_000.0 - outage);
                     }
-                    clock.heard(at + 1.0, Heard::Ended);
+                    clock.observe(at + 1.0, ListEvent::Ended);
                 }
             }
             assert!(back.iter().all(|at| *at <= by), "{back:?}");
@@ -199,7 +199,7 @@
         for _ in 0..8 {
             let at = call(&mut clock);
             assert!(at - before <= 2_501.0, "{}", at - before);
-            clock.heard(at + 1.0, Heard::Ended);
+            clock.observe(at + 1.0, ListEvent::Ended);
             before = at;
         }
     }
@@ -209,11 +209,11 @@
 #[test]
 fn where_nothing_falls_silent_nothing_is_given_up() {
     for mut clock in watching(Rules { can_fall_silent: false, ..ASKED }).take(9) {
-        assert_eq!((clock.due(), clock.told_by()), (None, Millis::INFINITY));
-        assert_eq!(clock.ring(1e9), None);
-        clock.heard(1e9, Heard::Ended);
+        assert_eq!((clock.due(), clock.counts_at()), (None, Millis::INFINITY));
+        assert_eq!(clock.poll(1e9), None);
+        clock.observe(1e9, ListEvent::Ended);
         call(&mut clock);
-        assert_eq!((clock.due(), clock.ring(2e9)), (None, None));
+        assert_eq!((clock.due(), clock.poll(2e9)), (None, None));
     }
 }
 
@@ -222,9 +222,9 @@
 fn who_asks_for_others_asks_often() {
     for (rules, longest) in [(ASKED, 2_500.0), (PUSHED, 501.0)] {
         for mut clock in watching(rules) {
-            clock.heard(5_000.0, Heard::Ended);
+            clock.observe(5_000.0, ListEvent::Ended);
             let mut before = call(&mut clock);
-            clock.heard(before + 1.0, Heard::Ended);
+            clock.observe(before + 1.0, ListEvent::Ended);
             clock.ask(before + 1.0, Pace::Often);
             for turn in 0..8 {
                 let at = call(&mut clock);
@@ -232,7 +232,7 @@
                 // The first wait had begun before its duty did, and may end sooner than one of its own.
                 let least = if turn == 0 { 0.0 } else { 499.0 };
                 assert!((least..=longest).contains(&gap), "{rules:?}: {gap}");
-                clock.heard(at + 1.0, Heard::Ended);
+                clock.observe(at + 1.0, ListEvent::Ended);
                 before = at;
             }
         }
@@ -246,17 +246,17 @@
     for (rules, usual, wider) in [(ASKED, RETRY_PERIOD, 0.9), (PUSHED, 1_200.0, 2.0)] {
         let (mut widest, mut back): (Millis, Vec<Millis>) = (0.0, Vec::new());
         for mut clock in watching(rules) {
-            clock.heard(5_000.0, Heard::Ended);
+            clock.observe(5_000.0, ListEvent::Ended);
             clock.ask(5_000.0, Pace::Seldom);
             let mut at = call(&mut clock);
             for _ in 0..5 {
-                clock.heard(at + 1.0, Heard::Ended);
+                clock.observe(at + 1.0, ListEvent::Ended);
                 let next = call(&mut clock);
                 widest = widest.max(next - at);
                 assert!(next - at <= RETRY_PERIOD + 2.0, "{rules:?}: {}", next - at);
                 at = next;
             }
-            clock.heard(at + 1.0, Heard::Ended);
+            clock.observe(at + 1.0, ListEvent::Ended);
             clock.ask(at + 2.0, Pace::Usual);
             back.push(call(&mut clock) - at - 2.0);
         }
@@ -278,7 +278,7 @@
             if at > 60_000.0 {
                 break;
             }
-            clock.heard(at + 1.0, Heard::Ended);
+            clock.observe(at + 1.0, ListEvent::Ended);
             calls += 1;
         }
         assert!(calls < 400, "{must_ask_in}: {calls} in a minute");
@@ -304,9 +304,9 @@
             return at + late;
         }
         match failure {
-            Failure::Refused => clock.heard(at, Heard::Ended),
-            Failure::RefusedAfter(wait) => clock.heard(at + wait, Heard::Ended),
-            Failure::Silent => assert_eq!(clock.ring(at + CALL), Some(Order::GiveUp)),
+            Failure::Refused => clock.observe(at, ListEvent::Ended),
+            Failure::RefusedAfter(wait) => clock.observe(at + wait, ListEvent::Ended),
+            Failure::Silent => assert_eq!(clock.poll(at + CALL), Some(Command::GiveUp)),
         }
     }
 }
@@ -341,7 +341,7 @@
 fn the_answer_comes_within_six_seconds_of_a_watch_that_was_lost() {
     for rules in [ASKED, PUSHED] {
         for mut clock in watching(rules) {
-            assert_eq!(clock.ring(4_000.0), Some(Order::GiveUp));
+            assert_eq!(clock.poll(4_000.0), Some(Command::GiveUp));
             assert!(call(&mut clock) + CALL <= 1_000.0 + MISSED_TOLD);
         }
         for mut clock in watching(rules) {
@@ -349,7 +349,7 @@
                 let alive = call_after_short_watch(&mut clock);
                 let at = call(&mut clock);
                 assert!(at + CALL <= alive + MISSED_TOLD, "{at} {alive}");
-                clock.heard(at + CALL, Heard::Answered);
+                clock.observe(at + CALL, ListEvent::Answered);
             }
         }
     }
@@ -357,9 +357,9 @@
 
 /// Ends a watch that has just told a list; when it did.
 fn call_after_short_watch(clock: &mut Clock) -> Millis {
-    let alive = clock.told_by() - MISSED_TOLD;
-    clock.heard(alive, Heard::List);
-    clock.heard(alive + 1.0, Heard::Ended);
+    let alive = clock.counts_at() - MISSED_TOLD;
+    clock.observe(alive, ListEvent::List);
+    clock.observe(alive + 1.0, ListEvent::Ended);
     alive
 }
 
@@ -370,15 +370,15 @@
     const RESET: Millis = 12_000.0;
     for (rules, span) in [(ASKED, 1_000.0), (PUSHED, 250.0)] {
         let back = fleet(rules, FLEETS[1]).map(|mut clock| {
-            clock.heard(4_000.0, Heard::KeepAlive);
-            clock.heard(5_000.0, Heard::Ended);
+            clock.observe(4_000.0, ListEvent::KeepAlive);
+            clock.observe(5_000.0, ListEvent::Ended);
             loop {
                 let at = call(&mut clock);
                 if at > RESET {
                     break at;
                 }
                 let is_queued = at > RESET - 2_000.0;
-                clock.heard(if is_queued { RESET } else { at + 1.0 }, Heard::Ended);
+                clock.observe(if is_queued { RESET } else { at + 1.0 }, ListEvent::Ended);
             }
         });
         let most = most_within(&back.collect::<Vec<_>>(), span);
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -14,7 +14,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use listclock::{Clock, Heard, Millis, Order, Pace, Rules};
+use listclock::{Clock, Command, ListEvent, Millis, Pace, Rules};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -128,13 +128,13 @@
             if self.retired.load(Ordering::Relaxed) {
                 return;
             }
-            if self.clock.ring(self.millis()) == Some(Order::Call) {
+            if self.clock.poll(self.millis()) == Some(Command::Call) {
                 let Err(end) = self.once().await;
                 // Before it is answered a call has failed; after it, the next call shows whether discovery is there.
                 if self.clock.is_calling() {
                     self.reach(Reach::Down);
                 }
-                self.clock.heard(self.millis(), Heard::Ended);
+                self.clock.observe(self.millis(), ListEvent::Ended);
                 log::line(format!("discovery: {end:#}"));
             }
         }
@@ -157,7 +157,7 @@
             if let Ok(came) = timeout_at(due, &mut coming).await {
                 return Ok(came);
             }
-            if self.clock.ring(self.millis()) == Some(Order::GiveUp) {
+            if self.clock.poll(self.millis()) == Some(Command::GiveUp) {
                 self.reach(Reach::Down);
                 bail!("{what}");
             }
@@ -178,7 +178,7 @@
         if response.status() != StatusCode::OK {
             bail!("answered {}", response.status());
         }
-        self.clock.heard(self.millis(), Heard::Answered);
+        self.clock.observe(self.millis(), ListEvent::Answered);
         self.reach(Reach::Up);
         let mut body = response.into_body();
         let mut values = Values::default();
@@ -189,13 +189,13 @@
             let lists = values.push(&chunk).inspect_err(|_| self.version = 0)?;
             let now = self.millis();
             if !lists.is_empty() {
-                self.clock.heard(now, Heard::List);
+                self.clock.observe(now, ListEvent::List);
             }
             if values.is_inside() {
-                self.clock.heard(now, Heard::Part);
+                self.clock.observe(now, ListEvent::Part);
             } else if lists.is_empty() && chunk.contains(&b'\n') {
                 // An empty line between lists. Other space there says nothing.
-                self.clock.heard(now, Heard::KeepAlive);
+                self.clock.observe(now, ListEvent::KeepAlive);
             }
             lists.iter().try_for_each(|list| self.tell(list))?;
         }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, Write};
 use std::process::ExitCode;
 
-use listclock::{Clock, Heard, Order, Rules, Start};
+use listclock::{Clock, Command, ListEvent, Rules, Start};
 use sagemast::Balancer;
 use sagemast::api::*;
 use sagemast::settings::{Column, report};
@@ -42,15 +42,15 @@
                     self.must_ask_in.map(|within| Clock::new(rules(within), Start::Known, self.salt, now));
             }
             WireEvent::Sync { mode, .. } => {
-                let heard: &[Heard] = match mode {
-                    SyncMode::Unavailable => &[Heard::Ended],
-                    _ => &[Heard::Answered, Heard::List],
+                let heard: &[ListEvent] = match mode {
+                    SyncMode::Unavailable => &[ListEvent::Ended],
+                    _ => &[ListEvent::Answered, ListEvent::List],
                 };
                 let Some(clock) = &mut self.clock else { return matches!(mode, SyncMode::Unavailable) };
-                heard.iter().for_each(|what| clock.heard(now, *what));
+                heard.iter().for_each(|what| clock.observe(now, *what));
             }
             WireEvent::Ring { token: LIST } => {
-                if self.clock.as_mut().and_then(|clock| clock.ring(now + EARLY)) == Some(Order::Call) {
+                if self.clock.as_mut().and_then(|clock| clock.poll(now + EARLY)) == Some(Command::Call) {
                     actions.push(WireAction::Follow { want: true });
                 }
             }
--- a/crates/world/src/roster.rs
+++ b/crates/world/src/roster.rs
@@ -1,6 +1,6 @@
 //! The lists that sidecars get from discovery, by the clock that real ones follow.
 
-use listclock::{Clock, Heard, Order, Rules, Start};
+use listclock::{Clock, Command, ListEvent, Rules, Start};
 use peers::api::{Reach, Standing};
 use sagemast::api::*;
 
@@ -44,10 +44,10 @@
     /// The clock of a list may have something due.
     pub(crate) fn list_due(&mut self, member: usize) {
         let this = &mut self.members[member];
-        let order = this.list_clock.ring(this.clock.at(self.now));
+        let order = this.list_clock.poll(this.clock.at(self.now));
         let incarnation = this.incarnation;
         match order {
-            Some(Order::Call) => match self.links.way(member) {
+            Some(Command::Call) => match self.links.way(member) {
                 Way::Open => {
                     let at = self.now + self.wire();
                     self.queue.push(at, Event::Call { member, incarnation });
@@ -55,7 +55,7 @@
                 Way::Refused => self.tell_at(self.now + micros(WIRE), member, Told::ListEnded),
                 Way::Silent => {}
             },
-            Some(Order::GiveUp) => {
+            Some(Command::GiveUp) => {
                 this.watches = false;
                 self.reach(member, Reach::Down);
             }
@@ -104,19 +104,19 @@
         }
         let at = this.clock.at(now);
         if opening {
-            this.list_clock.heard(at, Heard::Answered);
+            this.list_clock.observe(at, ListEvent::Answered);
             this.watches = true;
         }
         let since = if opening { 0 } else { this.version };
         this.version = self.discovery.version;
         let list: Vec<(usize, Listed)> = self.discovery.since(since).map(|(n, e)| (n, e.clone())).collect();
-        let heard = if opening || !list.is_empty() { Heard::List } else { Heard::KeepAlive };
-        this.list_clock.heard(at, heard);
+        let heard = if opening || !list.is_empty() { ListEvent::List } else { ListEvent::KeepAlive };
+        this.list_clock.observe(at, heard);
         self.set_list_timer(member);
         if opening {
             self.reach(member, Reach::Up);
         }
-        if heard == Heard::List {
+        if heard == ListEvent::List {
             self.listed(member, opening, &list);
             let listings = self.take_in(member, &list);
             let news = if opening { ListNews::Complete(listings) } else { ListNews::Changed(listings) };
@@ -129,7 +129,7 @@
         let this = &mut self.members[member];
         this.watches = false;
         let calling = this.list_clock.is_calling();
-        this.list_clock.heard(this.clock.at(self.now), Heard::Ended);
+        this.list_clock.observe(this.clock.at(self.now), ListEvent::Ended);
         self.set_list_timer(member);
         // When a watch breaks the next call shows whether discovery is there.
         if calling {
