--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -103,7 +103,7 @@
 
 /// A field by its path, such as `settings.classes[1].aim`.
 fn field<'v>(value: &'v mut Value, path: &str) -> &'v mut Value {
-    let pointer = format!("/{}", path.replace('.', "/").replace('[', "/").replace(']', ""));
+    let pointer = format!("/{}", path.replace(['.', '['], "/").replace(']', ""));
     value.pointer_mut(&pointer).unwrap_or_else(|| panic!("there is no {path}"))
 }
 
--- a/crates/node/src/engine/attempts.rs
+++ b/crates/node/src/engine/attempts.rs
@@ -15,7 +15,15 @@
 use super::{Engine, Sent};
 
 /// A probe that has not come back by then says nothing: servers answer them beside their queue.
-const PROBE_TIME: Duration = Duration::from_millis(150);
+const PROBE_TIME_LEAST: Duration = Duration::from_millis(150);
+/// Where connections may take long to come up, so may probes: this share of that time.
+const PROBE_SHARE_OF_CONNECT_TIMEOUT: f64 = 0.6;
+
+/// How long a probe may take, where a connection may take so long to come up.
+fn probe_time(connect_timeout_ms: Millis) -> Duration {
+    let share = connect_timeout_ms * PROBE_SHARE_OF_CONNECT_TIMEOUT / 1e3;
+    Duration::try_from_secs_f64(share).unwrap_or_default().max(PROBE_TIME_LEAST)
+}
 
 impl Engine {
     /// Sends a request once more.
@@ -96,7 +104,8 @@
     /// Asks an upstream for its load.
     pub(super) fn probe(&mut self, upstream: UpstreamId) {
         self.counters.probes += u32::from(self.servers.contains_key(&upstream));
-        self.transport.probe(upstream, Instant::now() + PROBE_TIME);
+        let until = Instant::now() + probe_time(self.settings.connect_timeout_ms());
+        self.transport.probe(upstream, until);
     }
 }
 
@@ -106,3 +115,6 @@
     kept.remove("x-server-load");
     kept
 }
+
+#[cfg(test)]
+mod tests;
