--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,12 +1,12 @@
 //! What the sidecar is told at start: the file named by `ROUTER_CONFIG`, checked before anything runs.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, anyhow, bail};
 use sagemast::settings::Config as SettingsObject;
 use serde::Deserialize;
 
+use crate::json;
 use crate::rosters::host_list::HostList;
 
 /// The configuration file.
@@ -93,22 +93,22 @@
 
     /// Reads and checks the text of a configuration.
     pub fn parse(text: &[u8]) -> Result<Config> {
-        let config: Config = serde_json::from_slice(text)?;
-        config.settings.check().map_err(anyhow::Error::msg)?;
-        let mut seen = HashSet::new();
-        if let Some(double) = config.settings.class_names().find(|name| !seen.insert(*name)) {
-            bail!("two classes are named {double:?}");
-        }
+        let config: Config = json::read(text)?;
+        config.settings.check().map_err(|bad| anyhow!("settings.{}", json::printable(&bad.to_string())))?;
         if config.limits.sockets < MIN_SOCKETS {
-            bail!("limits.sockets is {}; at least {MIN_SOCKETS} are needed", config.limits.sockets);
+            bail!(
+                "limits.sockets: {} are fewer than the {MIN_SOCKETS} that are needed",
+                config.limits.sockets
+            );
         }
         Ok(config)
     }
 
     /// The seed as a number; one that is not in hexadecimal digits still makes a seed of its own.
     pub fn seed(&self) -> u64 {
-        u64::from_str_radix(&self.seed, 16)
-            .unwrap_or_else(|_| self.seed.bytes().fold(7, |sum, b| sum.wrapping_mul(31) + u64::from(b)))
+        u64::from_str_radix(&self.seed, 16).unwrap_or_else(|_| {
+            self.seed.bytes().fold(7, |sum, b| sum.wrapping_mul(31).wrapping_add(u64::from(b)))
+        })
     }
 }
 
