--- a/crates/node/src/engine/attempts.rs
+++ b/crates/node/src/engine/attempts.rs
@@ -10,14 +10,26 @@
 use tokio::time::Instant;
 
 use super::counters::name_of;
+use super::key_window::KeyWindow;
 use super::message::{End, Final, end_to_end};
-use super::transport::{Attempt, Flight};
+use super::transport::{Attempt, Flight, Interest};
 use super::{Engine, Sent};
 
 /// A probe that has not come back by then says nothing: servers answer them beside their queue.
 const PROBE_TIME: Duration = Duration::from_millis(150);
 
 impl Engine {
+    /// The window of a new request of this class, if its repeats are discarded by key.
+    pub(super) fn key_window(&self, class: ClassId) -> Option<Arc<KeyWindow>> {
+        match self.module.classes().get(class.0)?.effect {
+            Effect::ByKey { window, .. } => {
+                let length = Duration::try_from_secs_f64(window / 1e3).unwrap_or(Duration::MAX);
+                Some(Arc::new(KeyWindow::new(length)))
+            }
+            Effect::Repeatable | Effect::Once => None,
+        }
+    }
+
     /// Sends a request once more.
     pub(super) fn send(&mut self, request: RequestId, upstream: UpstreamId, timeout: Millis) {
         let now = Instant::now();
@@ -30,12 +42,17 @@
             _ => open.deadline,
         };
         let flight = Flight { request, attempt, upstream, until };
-        let (forward, lease) = (open.forward.clone(), Arc::downgrade(&open.lease));
+        let forward = open.forward.clone();
+        // A client that has gone is known here before the engine comes to its message: that counts the request,
+        // and the transport ends the attempt unsent.
+        let client_left = open.reply.is_closed();
+        let interest = if client_left { Interest::default() } else { Interest::until_answered(&open.lease) };
+        let key_window = open.key_window.clone();
         let (give_up, given_up) = oneshot::channel();
         let sent = Sent { upstream, forward: forward.clone(), at: now, give_up: Some(give_up) };
         self.sent.insert((request, attempt), sent);
         let pass = self.acting.as_ref().map(|acting| acting.pass(open.class, open.tenant));
-        self.transport.attempt(Attempt { flight, forward, given_up, open: lease, pass });
+        self.transport.attempt(Attempt { flight, forward, given_up, interest, key_window, pass });
     }
 
     /// An attempt has ended.
@@ -52,6 +69,10 @@
         let Some(sent) = self.sent.remove(&key) else { return };
         let latency = sent.at.elapsed().as_secs_f64() * 1e3;
         self.counters.ended(outcome);
+        let key_window = self.open.get(&flight.request).and_then(|open| open.key_window.as_ref());
+        if let Some(key_window) = key_window.filter(|_| !outcome.may_have_run()) {
+            key_window.never_ran(flight.attempt);
+        }
         if outcome != Outcome::Ok {
             self.remember(flight, outcome, latency, answer.as_ref().map(|a| a.status), reason.as_deref());
         }
--- a/crates/node/src/engine/list.rs
+++ b/crates/node/src/engine/list.rs
@@ -28,7 +28,7 @@
             for (id, server) in self.servers.iter_mut().filter(|(id, _)| !named.contains(id)) {
                 if server.listing.lifecycle == Lifecycle::Serving {
                     server.listing.lifecycle = Lifecycle::Leaving;
-                    self.transport.met(*id, server.peer());
+                    self.transport.update_upstream(*id, server.peer());
                 }
             }
         }
@@ -93,7 +93,7 @@
         }
         server.entry = acting.then(|| Box::new(entry.clone()));
         (server.dial, server.started_ms, server.listing) = (entry.dial, entry.started_ms, listing.clone());
-        self.transport.met(id, server.peer());
+        self.transport.update_upstream(id, server.peer());
         listing
     }
 
@@ -104,7 +104,7 @@
         self.servers.retain(|id, server| {
             let kept = server.listing.lifecycle == Lifecycle::Serving || busy.contains(id);
             if !kept {
-                transport.lost(*id);
+                transport.remove_upstream(*id);
             }
             kept
         });
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod company;
 mod counters;
 mod intake;
+mod key_window;
 mod list;
 mod members;
 mod message;
@@ -14,6 +15,9 @@
 mod transport;
 mod ways;
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::{Display, Formatter};
 use std::net::SocketAddr;
@@ -41,10 +45,11 @@
 
 pub use company::{Fleet, Standings};
 pub use intake::{Asked, Intake, Names};
+pub use key_window::{KeyWindow, WindowClosed};
 pub use members::{Datagram, Losses, Mailbox, Members};
 pub use message::{Answer, BODY_BYTES, End, Final, Forward, end_to_end};
 pub use roster::{Entry, Following, List, News, Roster, Start};
-pub use transport::{Attempt, Counts, Flight, Gate, Pass, Peer, Reports, Transport};
+pub use transport::{Attempt, Counts, Flight, Gate, Interest, Pass, Peer, Reports, Transport};
 #[cfg(test)]
 pub(crate) use ways::Seen;
 pub use ways::{Inbox, Orders, Ways};
@@ -107,6 +112,8 @@
     trail: String,
     /// Lives as long as this does, for transports to see.
     lease: Arc<()>,
+    /// Within which its attempts are written, for a class whose repeats upstreams discard by key.
+    key_window: Option<Arc<KeyWindow>>,
 }
 
 /// An upstream that the roster named.
@@ -441,7 +448,21 @@
         let class = self.routing.class_of(class, kept.target.path(), &kept.headers);
         self.counters.of(class).arrived += 1;
         let lease = Arc::new(());
-        let open = Open { class, tenant, forward, who, reply, sends: 0, at, deadline, timer, trail, lease };
+        let key_window = self.key_window(class);
+        let open = Open {
+            class,
+            tenant,
+            forward,
+            who,
+            reply,
+            sends: 0,
+            at,
+            deadline,
+            timer,
+            trail,
+            lease,
+            key_window,
+        };
         self.open.insert(request, open);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1e3;
         let repeat = kept.is_repeat();
--- /dev/null
+++ b/crates/node/src/engine/tests.rs
@@ -0,0 +1,162 @@
+//! The engine towards transports, with one that only notes what it was asked.
+
+use std::sync::{Mutex, PoisonError};
+
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use tokio::task::JoinHandle;
+
+use super::*;
+
+const SETTINGS: &str = r#"{
+    "classes":[{"name":"a","aim":250.0,"hard_limit":900.0,"importance":2.0,"effect":"by_key","window":500.0}],
+    "allowed":{"max_attempts":3},"peers_total":3,"membership_mode":"automatic","telemetry":{},
+    "invariants":{"cold_share":0.1,"warm_up":2e4,"fall_multiple":2.5,"fall":1500.0}}"#;
+
+/// Notes the attempts that it is handed.
+#[derive(Clone, Default)]
+struct NotingTransport(Arc<Mutex<Vec<Attempt>>>);
+
+impl NotingTransport {
+    fn take(&self) -> Vec<Attempt> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Transport for NotingTransport {
+    fn update_upstream(&self, _: UpstreamId, _: Peer) {}
+    fn remove_upstream(&self, _: UpstreamId) {}
+    fn attempt(&self, attempt: Attempt) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(attempt);
+    }
+    fn probe(&self, _: UpstreamId, _: Instant) {}
+    fn sweep(&self) {}
+    fn counts(&self) -> Counts {
+        Counts::default()
+    }
+    fn idle(&self) -> usize {
+        0
+    }
+}
+
+/// Tells nothing.
+struct SilentRoster;
+
+impl Roster for SilentRoster {
+    fn follow(&self, _: u64, _: Start) -> Following {
+        Following::by(|_| async {})
+    }
+}
+
+/// An engine that knows one server, its transport and where requests come in.
+fn engine() -> (Engine, NotingTransport, Arc<Intake>) {
+    let settings: SettingsObject = serde_json::from_str(SETTINGS).expect("settings");
+    let names = Names { classes: settings.classes(), tenants: Vec::new() };
+    let Ways { intake, inbox, .. } = Ways::new(names);
+    let transport = NotingTransport::default();
+    let surroundings = Surroundings {
+        intake: intake.clone(),
+        inbox,
+        transport: Box::new(transport.clone()),
+        roster: Box::new(SilentRoster),
+        fleet: None,
+    };
+    let mut engine = Engine::new(settings, 1, Table::default(), surroundings, None).expect("an engine");
+    let entry = Entry {
+        host: "s".to_owned(),
+        dial: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: String::new(),
+        kind: String::new(),
+        cell: 0,
+        serving: true,
+        weight: 1.0,
+        started_ms: 0.0,
+    };
+    engine.listed(List { version: 1, whole: true, entries: vec![entry], unread: Vec::new() }, false);
+    (engine, transport, intake)
+}
+
+fn asked() -> Asked {
+    let forward = Forward {
+        method: Method::POST,
+        target: Uri::from_static("/a"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    Asked {
+        class: ClassId(0),
+        tenant: TenantId(0),
+        at: Instant::now(),
+        time_left: Duration::from_millis(900),
+        who: "".into(),
+        forward,
+    }
+}
+
+/// A client that waits for its answer until its task is aborted.
+async fn client(intake: &Arc<Intake>) -> JoinHandle<Final> {
+    let intake = intake.clone();
+    let client = tokio::spawn(async move { intake.ask(asked()).await });
+    tokio::task::yield_now().await;
+    client
+}
+
+/// Takes in what the engine was told so far.
+fn take_in(engine: &mut Engine, most: usize) {
+    for _ in 0..most {
+        let Ok(happening) = engine.inbox.try_recv() else { return };
+        engine.happened(happening);
+    }
+}
+
+/// The engine comes to a request when the message that its client has left waits behind it.
+#[tokio::test]
+async fn nothing_is_sent_for_a_client_that_has_gone_and_it_is_counted_once() {
+    let (mut engine, transport, intake) = engine();
+    let client = client(&intake).await;
+    client.abort();
+    assert!(client.await.is_err());
+    take_in(&mut engine, 1);
+    let mut attempts = transport.take();
+    assert_eq!(attempts.len(), 1, "the module does not know yet");
+    assert!(!attempts[0].is_wanted());
+    take_in(&mut engine, 10);
+    let tally = engine.counters.of(ClassId(0));
+    assert_eq!((tally.arrived, tally.left), (1, 1));
+    assert!(engine.open.is_empty());
+}
+
+/// A client that leaves once its request was sent is seen by the attempt only when the engine hears of it.
+#[tokio::test]
+async fn an_attempt_is_wanted_while_its_client_waits() {
+    let (mut engine, transport, intake) = engine();
+    let client = client(&intake).await;
+    take_in(&mut engine, 1);
+    let mut attempts = transport.take();
+    assert!(attempts[0].is_wanted());
+    client.abort();
+    assert!(client.await.is_err());
+    take_in(&mut engine, 1);
+    assert!(!attempts[0].is_wanted());
+    assert_eq!(engine.counters.of(ClassId(0)).left, 1);
+}
+
+/// All attempts of a request share its window, and what did not run does not open it.
+#[tokio::test]
+async fn attempts_share_the_window_of_their_request() {
+    let (mut engine, transport, intake) = engine();
+    let _client = client(&intake).await;
+    take_in(&mut engine, 1);
+    let request = transport.take().remove(0).flight.request;
+    let upstream = engine.servers.keys().next().copied().expect("a server");
+    engine.send(request, upstream, 0.0);
+    let second = transport.take().remove(0);
+    engine.send(request, upstream, 0.0);
+    let third = transport.take().remove(0);
+    let (opened, bound) = (second.key_window.expect("a window"), third.key_window.expect("a window"));
+    opened.begin(second.flight.attempt, Instant::now()).expect("the first to begin");
+    assert!(bound.closes_for(third.flight.attempt).is_some());
+    engine.ended(second.flight, End::Outcome(Outcome::Unreachable, None));
+    assert!(bound.closes_for(third.flight.attempt).is_none());
+}
--- a/crates/node/src/engine/transport.rs
+++ b/crates/node/src/engine/transport.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::Happening;
+use super::key_window::KeyWindow;
 use super::message::{Answer, End, Forward};
 
 /// One attempt on its way.
@@ -41,6 +42,41 @@
     pub tenant: TenantId,
 }
 
+impl Pass {
+    /// Whether the request may be written to a server in this zone, which the roster may have moved there meanwhile.
+    pub fn lets(&self, peer: &Peer) -> bool {
+        self.gate.lets(self.class, self.tenant, peer.zone.as_deref().unwrap_or_default())
+    }
+}
+
+/// Who still waits for what an attempt may bring. It can be asked anywhere and at any time, also while the engine
+/// has not come to hear of it yet.
+#[derive(Debug, Clone, Default)]
+pub struct Interest {
+    /// Alive until the request has its final answer.
+    answer_owed: Weak<()>,
+    /// Alive while the client is there, where its front says so.
+    client: Option<Weak<()>>,
+}
+
+impl Interest {
+    /// Interest for as long as this is alive.
+    pub fn until_answered(answer_owed: &Arc<()>) -> Interest {
+        Interest { answer_owed: Arc::downgrade(answer_owed), client: None }
+    }
+
+    /// The same, and only while the client's own task holds this.
+    pub fn while_client_holds(self, client: Weak<()>) -> Interest {
+        Interest { client: Some(client), ..self }
+    }
+
+    /// Whether an answer is owed and the client is there.
+    pub fn is_wanted(&self) -> bool {
+        let client_left = self.client.as_ref().is_some_and(|client| client.strong_count() == 0);
+        self.answer_owed.strong_count() > 0 && !client_left
+    }
+}
+
 /// An attempt for a transport to carry.
 pub struct Attempt {
     /// Which it is.
@@ -49,8 +85,10 @@
     pub forward: Arc<Forward>,
     /// Dropped or used when the engine gives the attempt up.
     pub given_up: oneshot::Receiver<()>,
-    /// Alive until the request has its final answer: what is not written by then must not be.
-    pub open: Weak<()>,
+    /// Who waits for its answer: what is not written once nobody does must not be.
+    pub interest: Interest,
+    /// By when it has to be written, for a class whose repeats upstreams discard by key.
+    pub key_window: Option<Arc<KeyWindow>>,
     /// Where it may go; absent: anywhere.
     pub pass: Option<Pass>,
 }
@@ -61,15 +99,9 @@
         !matches!(self.given_up.try_recv(), Err(oneshot::error::TryRecvError::Empty))
     }
 
-    /// Whether it may be written to a server in this zone, which the roster may have moved there meanwhile.
-    pub fn may_go_to(&self, peer: &Peer) -> bool {
-        let zone = peer.zone.as_deref().unwrap_or_default();
-        self.pass.as_ref().is_none_or(|Pass { gate, class, tenant }| gate.lets(*class, *tenant, zone))
-    }
-
-    /// Whether the request is still owed an answer and the attempt was not given up.
+    /// Whether somebody still waits for its answer and it was not given up.
     pub fn is_wanted(&mut self) -> bool {
-        !self.is_given_up() && self.open.strong_count() > 0
+        !self.is_given_up() && self.interest.is_wanted()
     }
 }
 
@@ -108,9 +140,9 @@
 /// the transport was never told of.
 pub trait Transport: Send {
     /// What is known of an upstream is new or has changed.
-    fn met(&self, upstream: UpstreamId, peer: Peer);
+    fn update_upstream(&self, upstream: UpstreamId, peer: Peer);
     /// An upstream is forgotten.
-    fn lost(&self, upstream: UpstreamId);
+    fn remove_upstream(&self, upstream: UpstreamId);
     /// Carries an attempt.
     fn attempt(&self, attempt: Attempt);
     /// Asks an upstream for its load until then.
--- a/crates/node/src/engine/ways.rs
+++ b/crates/node/src/engine/ways.rs
@@ -59,6 +59,15 @@
 
 #[cfg(test)]
 impl Seen {
+    /// The next end, with the answer if one came.
+    pub(crate) async fn answer(&mut self) -> (sagemast::api::Outcome, Option<super::message::Answer>) {
+        match self.0.recv().await {
+            Some(Happening::Ended { end: End::Outcome(outcome, answer), .. }) => (outcome, answer),
+            Some(Happening::Ended { end: End::Broken(outcome, _), .. }) => (outcome, None),
+            _ => panic!("no attempt has ended"),
+        }
+    }
+
     /// The next end.
     pub(crate) async fn end(&mut self) -> (sagemast::api::RequestId, sagemast::api::Outcome) {
         match self.0.recv().await {
--- /dev/null
+++ b/crates/node/src/transports/http1/attempt.rs
@@ -0,0 +1,290 @@
+//! The life of an attempt, from its connection to its one end.
+
+use std::future::pending;
+use std::sync::Arc;
+
+use sagemast::api::Outcome;
+use tokio::time::{Instant, sleep_until};
+
+use super::connection::Connection;
+use super::exchange::{Failure, exchange, explain, outcome_of, size_on_the_wire, upstream_request};
+use super::stream::{StreamState, Withheld, WriteRules};
+use super::transport::{Shared, Source};
+use crate::engine::{Attempt, BODY_BYTES, End, Flight, Interest, KeyWindow, Pass, Peer};
+
+/// Why nothing was written, where rules of residency forbid it.
+const OUTSIDE: &str = "outside its regions";
+/// Why an attempt ended that upstreams might not discard as a repeat any more.
+const KEY_WINDOW_CLOSED: &str = "the window of its key closed";
+
+/// How an attempt ended over one connection.
+enum ExchangeEnd {
+    /// With an answer, which the engine was told.
+    Answered,
+    /// In another way.
+    Ended(End),
+    /// The idle connection had been closed and no byte was written to it: another may be used.
+    Stale,
+}
+
+/// Whether an attempt may be written. Asked before it takes the connection, and again at the writes themselves.
+struct AttemptRules {
+    shared: Arc<Shared>,
+    flight: Flight,
+    interest: Interest,
+    pass: Option<Pass>,
+    key_window: Option<Arc<KeyWindow>>,
+    /// The upstream as it was when its connection was chosen.
+    peer: Peer,
+}
+
+impl AttemptRules {
+    fn new(shared: &Arc<Shared>, attempt: &Attempt, peer: &Peer) -> AttemptRules {
+        AttemptRules {
+            shared: shared.clone(),
+            flight: attempt.flight,
+            interest: attempt.interest.clone(),
+            pass: attempt.pass.clone(),
+            key_window: attempt.key_window.clone(),
+            peer: peer.clone(),
+        }
+    }
+
+    /// Whether it may begin, as far as nothing has to be noted for that.
+    fn check(&self) -> Result<(), Withheld> {
+        if !self.interest.is_wanted() {
+            return Err(Withheld::NotWanted);
+        }
+        if Instant::now() >= self.flight.until {
+            return Err(Withheld::TimeIsUp);
+        }
+        let Some(now) = self.shared.peer(self.flight.upstream) else { return Err(Withheld::NotServing) };
+        if now.life != self.peer.life || !now.serving {
+            return Err(Withheld::NotServing);
+        }
+        // A list may have moved the name to another zone: neither where it was nor where it is may be outside.
+        let lets = |peer: &Peer| self.pass.as_ref().is_none_or(|pass| pass.lets(peer));
+        if !lets(&self.peer) || !lets(&now) {
+            return Err(Withheld::OutsideRegions);
+        }
+        self.proceed()
+    }
+}
+
+impl WriteRules for AttemptRules {
+    fn begin(&self) -> Result<(), Withheld> {
+        self.check()?;
+        match &self.key_window {
+            Some(window) => {
+                window.begin(self.flight.attempt, Instant::now()).map_err(|_| Withheld::KeyWindowClosed)
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn proceed(&self) -> Result<(), Withheld> {
+        match &self.key_window {
+            Some(window) => {
+                window.allows(self.flight.attempt, Instant::now()).map_err(|_| Withheld::KeyWindowClosed)
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+/// How far the request of an exchange has been written.
+struct Progress {
+    stream: Arc<StreamState>,
+    /// The count of bytes before its first byte.
+    before: u64,
+    /// The count with its last byte.
+    complete_at: u64,
+}
+
+impl Progress {
+    fn is_unwritten(&self) -> bool {
+        self.stream.written() == self.before
+    }
+
+    fn is_whole(&self) -> bool {
+        self.stream.written() >= self.complete_at
+    }
+}
+
+impl Shared {
+    /// Runs an attempt to its end and tells the engine of it.
+    pub(super) async fn run_attempt(self: Arc<Shared>, mut attempt: Attempt, mut source: Source, peer: Peer) {
+        let flight = attempt.flight;
+        // Each turn uses up a connection of the pool, and there is an end to those.
+        loop {
+            let pooled = source.is_pooled();
+            let connection = match self.connect_attempt(&mut attempt, source, &peer).await {
+                Ok(connection) => connection,
+                Err(outcome) => return self.reports.ended(flight, End::Outcome(outcome, None)),
+            };
+            // While it connected, its time may have run out, the request may have ended or the upstream may have
+            // begun to drain or to live anew: what is not written yet must not be.
+            let rules = AttemptRules::new(&self, &attempt, &peer);
+            let allowed = if attempt.is_given_up() { Err(Withheld::NotWanted) } else { rules.check() };
+            if let Err(reason) = allowed {
+                self.reports.ended(flight, end_of_unwritten(reason));
+                return self.keep(flight.upstream, peer.life, connection).await;
+            }
+            match self.exchange_attempt(&mut attempt, connection, pooled, rules).await {
+                ExchangeEnd::Answered => return,
+                ExchangeEnd::Ended(end) => return self.reports.ended(flight, end),
+                ExchangeEnd::Stale => self.state().counts.stale += 1,
+            }
+            // Nothing was written: the same attempt goes on over another connection, if it still may.
+            source = match self.replacement(&mut attempt, &peer) {
+                Ok(source) => source,
+                Err(end) => return self.reports.ended(flight, end),
+            };
+        }
+    }
+
+    /// Another connection for an attempt whose idle one had been closed.
+    fn replacement(self: &Arc<Shared>, attempt: &mut Attempt, peer: &Peer) -> Result<Source, End> {
+        if attempt.is_given_up() {
+            return Err(end_of_unwritten(Withheld::NotWanted));
+        }
+        AttemptRules::new(self, attempt, peer).check().map_err(end_of_unwritten)?;
+        match self.source(attempt.flight.upstream) {
+            Some((source, _)) => Ok(source),
+            None => Err(End::Outcome(Outcome::NotSent, None)),
+        }
+    }
+
+    /// Opens a connection for an attempt, if it has none yet.
+    async fn connect_attempt(
+        &self,
+        attempt: &mut Attempt,
+        source: Source,
+        peer: &Peer,
+    ) -> Result<Connection, Outcome> {
+        let window_closes = closes(attempt);
+        let until = attempt.flight.until.min(window_closes.unwrap_or(attempt.flight.until));
+        let connected = tokio::select! {
+            connected = self.connect(source, peer, until) => connected,
+            _ = &mut attempt.given_up => return Err(Outcome::NotSent),
+        };
+        match connected {
+            Some(connection) => Ok(connection),
+            None if attempt.is_given_up() || window_closes.is_some_and(|at| Instant::now() >= at) => {
+                Err(Outcome::NotSent)
+            }
+            None => Err(Outcome::Unreachable),
+        }
+    }
+
+    /// Runs an attempt over a connection until it ends, its time is up or it is given up.
+    async fn exchange_attempt(
+        &self,
+        attempt: &mut Attempt,
+        mut connection: Connection,
+        pooled: bool,
+        rules: AttemptRules,
+    ) -> ExchangeEnd {
+        let flight = attempt.flight;
+        let peer = rules.peer.clone();
+        let request = upstream_request(&attempt.forward, peer.dial, flight.until);
+        let before = connection.stream.written();
+        let size = size_on_the_wire(&request, attempt.forward.body.len());
+        let progress = Progress { stream: connection.stream.clone(), before, complete_at: before + size };
+        let window_closes = closes(attempt);
+        let exchanged = {
+            let exchange = exchange(&mut connection, request, Box::new(rules));
+            tokio::select! {
+                biased;
+                result = exchange => result,
+                _ = &mut attempt.given_up => Err(Failure::GivenUp),
+                () = sleep_until(flight.until) => Err(Failure::TimedOut),
+                () = unfinished_at(window_closes, &progress) => Err(Failure::KeyWindowClosed),
+            }
+        };
+        let failure = match exchanged {
+            Ok(answer) => {
+                // The engine hears of the answer before the connection settles.
+                self.reports.ended(flight, End::Outcome(outcome_of(&answer), Some(answer)));
+                self.keep(flight.upstream, peer.life, connection).await;
+                return ExchangeEnd::Answered;
+            }
+            Err(failure) => failure,
+        };
+        // Closed before the engine hears of it: the next attempt must not go out while this one may still run. Only
+        // then is it certain how much was written.
+        let used = connection.used;
+        connection.close().await;
+        let broken_unwritten = matches!(failure, Failure::Broken(_)) && progress.is_unwritten();
+        if broken_unwritten && pooled && progress.stream.withheld().is_none() {
+            return ExchangeEnd::Stale;
+        }
+        ExchangeEnd::Ended(end_of_failure(failure, &progress, used))
+    }
+}
+
+/// When the window of an attempt's key closes, as far as another attempt has opened it.
+fn closes(attempt: &Attempt) -> Option<Instant> {
+    attempt.key_window.as_ref().and_then(|window| window.closes_for(attempt.flight.attempt))
+}
+
+/// Waits until a request that has to be written whole by then is not.
+async fn unfinished_at(closes: Option<Instant>, progress: &Progress) {
+    let Some(closes) = closes else { return pending().await };
+    sleep_until(closes).await;
+    if progress.is_whole() {
+        pending().await
+    }
+}
+
+/// The end of an attempt of which nothing was written.
+fn end_of_unwritten(reason: Withheld) -> End {
+    match reason {
+        Withheld::NotWanted => End::Outcome(Outcome::NotSent, None),
+        Withheld::OutsideRegions => End::Broken(Outcome::NotSent, OUTSIDE.to_owned()),
+        Withheld::KeyWindowClosed => End::Broken(Outcome::NotSent, KEY_WINDOW_CLOSED.to_owned()),
+        Withheld::TimeIsUp | Withheld::NotServing | Withheld::NoExchange => {
+            End::Outcome(Outcome::Unreachable, None)
+        }
+    }
+}
+
+/// The end of an attempt whose connection is closed, by what was written of it.
+fn end_of_failure(failure: Failure, progress: &Progress, used: bool) -> End {
+    if let (Failure::Broken(_), true, Some(reason)) =
+        (&failure, progress.is_unwritten(), progress.stream.withheld())
+    {
+        return end_of_unwritten(reason);
+    }
+    match failure {
+        Failure::GivenUp if progress.is_unwritten() => End::Outcome(Outcome::NotSent, None),
+        Failure::KeyWindowClosed if progress.is_unwritten() => end_of_unwritten(Withheld::KeyWindowClosed),
+        Failure::GivenUp => End::Outcome(Outcome::Cancelled, None),
+        failure if progress.is_whole() => end_of_written(failure, used),
+        failure => end_of_partly_written(failure),
+    }
+}
+
+/// The end of an attempt whose last byte was written: it may have run.
+fn end_of_written(failure: Failure, used: bool) -> End {
+    match failure {
+        Failure::Broken(error) => {
+            let what = if used { "a used connection" } else { "a new connection" };
+            End::Broken(Outcome::Reset, format!("{what} broke: {}", explain(&error)))
+        }
+        Failure::TooLong => End::Broken(Outcome::Error, format!("an answer longer than {BODY_BYTES} bytes")),
+        Failure::TimedOut => End::Outcome(Outcome::TimedOut, None),
+        Failure::GivenUp => End::Outcome(Outcome::Cancelled, None),
+        Failure::KeyWindowClosed => End::Broken(Outcome::Cancelled, KEY_WINDOW_CLOSED.to_owned()),
+    }
+}
+
+/// The end of an attempt whose last byte was never written, and now never will be.
+fn end_of_partly_written(failure: Failure) -> End {
+    match failure {
+        Failure::Broken(error) => End::Broken(Outcome::Unreachable, explain(&error)),
+        Failure::TooLong => End::Broken(Outcome::Unreachable, "a long answer before the request".to_owned()),
+        Failure::KeyWindowClosed => End::Broken(Outcome::Unreachable, KEY_WINDOW_CLOSED.to_owned()),
+        Failure::TimedOut | Failure::GivenUp => End::Outcome(Outcome::Unreachable, None),
+    }
+}
--- a/crates/node/src/transports/http1/pool.rs
+++ b/crates/node/src/transports/http1/pool.rs
@@ -15,12 +15,8 @@
 impl Pool {
     /// Takes the one used last, so that the others can grow old and close.
     pub fn take(&mut self, idle_limit: Duration) -> Option<Connection> {
-        while let Some(connection) = self.idle.pop() {
-            if connection.is_usable() && connection.idle_since.elapsed() < idle_limit {
-                return Some(connection);
-            }
-        }
-        None
+        self.sweep(idle_limit);
+        self.idle.pop()
     }
 
     /// Takes one back.
@@ -43,11 +39,9 @@
         self.idle.first().map(|connection| connection.idle_since)
     }
 
-    /// Closes the one longest idle.
-    pub fn drop_oldest(&mut self) {
-        if !self.idle.is_empty() {
-            self.idle.remove(0);
-        }
+    /// Takes the one longest idle, for it to be closed.
+    pub fn take_oldest(&mut self) -> Option<Connection> {
+        (!self.idle.is_empty()).then(|| self.idle.remove(0))
     }
 
     /// Closes all.
--- /dev/null
+++ b/crates/node/src/transports/http1/probe.rs
@@ -0,0 +1,71 @@
+//! Probes of upstreams.
+
+use std::sync::Arc;
+
+use sagemast::api::UpstreamId;
+use tokio::time::{Instant, timeout_at};
+
+use super::exchange::{exchange, probe_request};
+use super::stream::{Withheld, WriteRules};
+use super::transport::Shared;
+use crate::engine::Answer;
+
+/// A probe may be written at any time.
+struct Always;
+
+impl WriteRules for Always {
+    fn begin(&self) -> Result<(), Withheld> {
+        Ok(())
+    }
+
+    fn proceed(&self) -> Result<(), Withheld> {
+        Ok(())
+    }
+}
+
+impl Shared {
+    /// Probes an upstream and tells what came of it.
+    pub(super) async fn run_probe(self: Arc<Shared>, upstream: UpstreamId, until: Instant) {
+        // Each turn uses up a connection of the pool, and there is an end to those.
+        while Instant::now() < until {
+            match self.probe_once(upstream, until).await {
+                ProbeEnd::Answered => return,
+                ProbeEnd::Failed => break,
+                ProbeEnd::Stale => self.state().counts.stale += 1,
+            }
+        }
+        self.reports.probed(upstream, None);
+    }
+
+    async fn probe_once(&self, upstream: UpstreamId, until: Instant) -> ProbeEnd {
+        let Some((source, peer)) = self.source(upstream) else { return ProbeEnd::Failed };
+        let pooled = source.is_pooled();
+        let Some(mut connection) = self.connect(source, &peer, until).await else { return ProbeEnd::Failed };
+        let before = connection.stream.written();
+        let request = probe_request(self.settings.probe_path, peer.dial);
+        let exchanged = timeout_at(until, exchange(&mut connection, request, Box::new(Always))).await;
+        if let Ok(Ok(answer)) = exchanged {
+            self.tell_probed(upstream, answer);
+            self.keep(upstream, peer.life, connection).await;
+            return ProbeEnd::Answered;
+        }
+        let stream = connection.stream.clone();
+        connection.close().await;
+        let unwritten = stream.written() == before;
+        if pooled && unwritten && exchanged.is_ok() { ProbeEnd::Stale } else { ProbeEnd::Failed }
+    }
+
+    fn tell_probed(&self, upstream: UpstreamId, answer: Answer) {
+        self.reports.probed(upstream, Some(answer));
+    }
+}
+
+/// How a probe over one connection ended.
+enum ProbeEnd {
+    /// With an answer, which was told.
+    Answered,
+    /// Without one.
+    Failed,
+    /// The idle connection had been closed, and nothing was written to it: another may be used.
+    Stale,
+}
--- /dev/null
+++ b/crates/node/src/transports/http1/tests/answers.rs
@@ -0,0 +1,172 @@
+//! Answers that end in every way, and requests that are cut.
+
+use hyper::header::{HeaderName, HeaderValue};
+use sagemast::api::Outcome;
+use tokio::sync::Semaphore;
+
+use super::*;
+use crate::engine::BODY_BYTES;
+use crate::transports::http1::connection::Connection;
+use crate::transports::http1::exchange::{exchange, size_on_the_wire, upstream_request};
+use crate::transports::http1::stream::{Withheld, WriteRules};
+
+/// How an upstream ends a connection after what it sent.
+#[derive(Debug, Clone, Copy)]
+enum Ending {
+    KeptOpen,
+    Closed,
+    Reset,
+}
+
+impl Ending {
+    /// Ends a connection so; what stays open of it.
+    fn apply_to(self, stream: TcpStream) -> Option<TcpStream> {
+        match self {
+            Ending::KeptOpen => return Some(stream),
+            Ending::Closed => drop(stream),
+            Ending::Reset => reset(stream),
+        }
+        None
+    }
+}
+
+/// The outcome of an attempt whose whole request was read, with this for an answer.
+async fn outcome_of(bytes: &[u8], ending: Ending) -> (Outcome, Option<Bytes>) {
+    let (transport, mut seen, listener) = one_upstream(settings()).await;
+    let (mut attempt, _wanted) = attempt();
+    attempt.flight.until = Instant::now() + Duration::from_millis(300);
+    transport.attempt(attempt);
+    let mut stream = accept(&listener).await;
+    read_head(&mut stream).await;
+    write(&mut stream, bytes).await;
+    let kept = ending.apply_to(stream);
+    let (outcome, answer) = seen.answer().await;
+    drop(kept);
+    assert!(!is_connected_to(listener), "a request that may have run is not sent again");
+    (outcome, answer.map(|answer| answer.body))
+}
+
+#[tokio::test]
+async fn whole_answers_are_taken() {
+    let answers: [(&[u8], Ending); 4] = [
+        (OK_FIRST, Ending::KeptOpen),
+        (b"HTTP/1.1 200 OK\r\n\r\nfirst", Ending::Closed),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n", Ending::Reset),
+        (
+            b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+            Ending::KeptOpen,
+        ),
+    ];
+    for (bytes, ending) in answers {
+        let (outcome, body) = outcome_of(bytes, ending).await;
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(outcome, Outcome::Ok, "{text} {ending:?}");
+        assert_eq!(body.as_deref(), Some(&b"first"[..]), "{text} {ending:?}");
+    }
+}
+
+#[tokio::test]
+async fn cut_answers_are_resets() {
+    let answers: [(&[u8], Ending); 9] = [
+        (b"", Ending::Closed),
+        (b"", Ending::Reset),
+        (b"HTTP/1.1 2", Ending::Closed),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", Ending::Closed),
+        // With no length, a close is the end and a reset is none.
+        (b"HTTP/1.1 200 OK\r\n\r\nfirst", Ending::Reset),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfirst", Ending::Closed),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfirst", Ending::Reset),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n", Ending::Closed),
+        (b"not http at all\r\n\r\n", Ending::KeptOpen),
+    ];
+    for (bytes, ending) in answers {
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(outcome_of(bytes, ending).await, (Outcome::Reset, None), "{text} {ending:?}");
+    }
+}
+
+#[tokio::test]
+async fn answers_without_an_end_are_given_up_in_time() {
+    let answers: [&[u8]; 5] = [
+        b"",
+        b"HTTP/1.1 100 Continue\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nfirst",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nfirst",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n",
+    ];
+    for bytes in answers {
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(outcome_of(bytes, Ending::KeptOpen).await, (Outcome::TimedOut, None), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_is_too_long_is_an_error() {
+    let mut bytes = b"HTTP/1.1 200 OK\r\n\r\n".to_vec();
+    bytes.resize(bytes.len() + BODY_BYTES + 1, b'x');
+    assert_eq!(outcome_of(&bytes, Ending::KeptOpen).await, (Outcome::Error, None));
+}
+
+/// Given up while its body is being written: the rest of it is never written.
+#[tokio::test]
+async fn an_attempt_that_is_given_up_is_closed_before_its_end_is_told() {
+    let (transport, mut seen, listener) = one_upstream(settings()).await;
+    let (attempt, mut wanted) = huge_attempt();
+    transport.attempt(attempt);
+    let mut stream = accept(&listener).await;
+    read_head(&mut stream).await;
+    wanted.give_up = None;
+    assert_eq!(seen.answer().await.0, Outcome::Cancelled);
+    assert!(bytes_until_closed(&mut stream).await < HUGE_BODY);
+}
+
+struct Always;
+
+impl WriteRules for Always {
+    fn begin(&self) -> Result<(), Withheld> {
+        Ok(())
+    }
+
+    fn proceed(&self) -> Result<(), Withheld> {
+        Ok(())
+    }
+}
+
+/// What tells whether a request was written whole must be what hyper writes.
+#[tokio::test]
+async fn the_size_of_a_request_is_what_is_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let dial = listener.local_addr().expect("an address");
+    let until = Instant::now() + Duration::from_secs(10);
+    let permits = Arc::new(Semaphore::new(1));
+    let permit = permits.acquire_owned().await.expect("a permit");
+    let mut connection = Connection::open(dial, until, permit).await.expect("a connection");
+    let mut stream = accept(&listener).await;
+    for (method, target, body) in [
+        (Method::GET, "/", ""),
+        (Method::GET, "/fetch?k=1&l=%20", ""),
+        (Method::POST, "/issue", ""),
+        (Method::POST, "/issue?", "a body"),
+    ] {
+        let mut headers = HeaderMap::new();
+        for value in ["one", "two", ""] {
+            headers.append(HeaderName::from_static("x-attrs"), HeaderValue::from_static(value));
+        }
+        let target = Uri::from_static(target);
+        let forward = Forward { method, target, headers, body: Bytes::from_static(body.as_bytes()) };
+        let request = upstream_request(&forward, dial, until);
+        let before = connection.stream.written();
+        let size = size_on_the_wire(&request, body.len());
+        let exchanged = exchange(&mut connection, request, Box::new(Always));
+        let served = async {
+            read_head(&mut stream).await;
+            let mut read = vec![0; body.len()];
+            stream.read_exact(&mut read).await.expect("the body");
+            write(&mut stream, OK_FIRST).await;
+        };
+        let (answer, ()) = tokio::join!(exchanged, served);
+        assert!(answer.is_ok());
+        assert_eq!(connection.stream.written() - before, size, "{} {}", forward.method, forward.target);
+        connection = connection.settle().await.expect("it is kept");
+    }
+}
--- /dev/null
+++ b/crates/node/src/transports/http1/tests/before_the_first_byte.rs
@@ -0,0 +1,126 @@
+//! What may change between the choice of an upstream and the first byte to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sagemast::api::{ClassId, Outcome, RequestId, TenantId};
+use tokio::io::AsyncReadExt;
+
+use super::*;
+use crate::engine::{Counts, Gate, Pass};
+
+#[tokio::test]
+async fn an_attempt_for_nobody_ends_once_and_was_not_sent() {
+    let (transport, mut seen) = transport_with(settings());
+    let (attempt, _wanted) = attempt();
+    transport.attempt(attempt);
+    assert_eq!(seen.end().await, (RequestId(2), Outcome::NotSent));
+    drop(transport);
+    assert!(seen.is_over().await, "there is one end");
+}
+
+/// What was decided while a connection came up is heeded once it is up: nothing is written.
+#[tokio::test]
+async fn nothing_is_written_for_what_ended_while_it_connected() {
+    for why in ["answered", "given up", "client left", "drained", "restarted", "gone"] {
+        let (transport, mut seen, listener) = one_upstream(settings()).await;
+        let dial = listener.local_addr().expect("an address");
+        let (attempt, mut wanted) = attempt();
+        // Its task runs when this one waits: by then all of this has happened.
+        transport.attempt(attempt);
+        match why {
+            "answered" => wanted.answer_owed = None,
+            "given up" => wanted.give_up = None,
+            "client left" => wanted.client = None,
+            "drained" => transport.update_upstream(UPSTREAM, Peer { serving: false, ..peer(dial, 0) }),
+            "restarted" => transport.update_upstream(UPSTREAM, peer(dial, 1)),
+            _ => transport.remove_upstream(UPSTREAM),
+        }
+        let expected = match why {
+            "answered" | "given up" | "client left" => Outcome::NotSent,
+            _ => Outcome::Unreachable,
+        };
+        assert_eq!(seen.end().await, (RequestId(2), expected), "{why}");
+        // A connection that came up is closed without a byte.
+        transport.remove_upstream(UPSTREAM);
+        if why != "given up" {
+            let mut stream = accept(&listener).await;
+            assert_eq!(stream.read(&mut [0]).await.ok(), Some(0), "{why}");
+        }
+    }
+}
+
+/// Lets requests go to one zone.
+struct Only(&'static str);
+
+impl Gate for Only {
+    fn lets(&self, _: ClassId, _: TenantId, zone: &str) -> bool {
+        zone == self.0
+    }
+}
+
+/// A list that moves a name to another zone while an attempt connects: not a byte leaves.
+#[tokio::test]
+async fn nothing_is_written_outside_the_regions_of_a_request() {
+    for (gate, moves) in [("z2", false), ("z1", true)] {
+        let (transport, mut seen, listener) = one_upstream(settings()).await;
+        let dial = listener.local_addr().expect("an address");
+        let (mut attempt, _wanted) = attempt();
+        attempt.pass = Some(Pass { gate: Arc::new(Only(gate)), class: ClassId(0), tenant: TenantId(0) });
+        transport.attempt(attempt);
+        if moves {
+            transport.update_upstream(UPSTREAM, Peer { zone: Some("z2".into()), ..peer(dial, 0) });
+        }
+        assert_eq!(seen.end().await, (RequestId(2), Outcome::NotSent), "{gate}");
+        transport.remove_upstream(UPSTREAM);
+        let mut stream = accept(&listener).await;
+        assert_eq!(stream.read(&mut [0]).await.ok(), Some(0), "{gate}");
+    }
+}
+
+#[tokio::test]
+async fn out_of_connections_an_attempt_was_not_sent() {
+    let (transport, mut seen) = transport_with(Settings { connections: 0, ..settings() });
+    transport.update_upstream(UPSTREAM, peer(SocketAddr::from(([127, 0, 0, 1], 9)), 0));
+    let (attempt, _wanted) = attempt();
+    transport.attempt(attempt);
+    assert_eq!(seen.end().await, (RequestId(2), Outcome::NotSent));
+    assert_eq!(transport.counts(), Counts { no_descriptor: 1, ..Counts::default() });
+    assert_eq!(transport.counts(), Counts::default(), "they are told once");
+}
+
+/// A client that the engine has not heard of yet: no connection is opened for it.
+#[tokio::test]
+async fn nothing_is_opened_for_a_client_that_has_gone() {
+    let (transport, mut seen, listener) = one_upstream(settings()).await;
+    let (attempt, mut wanted) = attempt();
+    wanted.client = None;
+    transport.attempt(attempt);
+    assert_eq!(seen.end().await, (RequestId(2), Outcome::NotSent));
+    assert!(!is_connected_to(listener));
+}
+
+/// A client leaves, and the upstream drains, while an attempt holds a pooled connection that has been closed.
+#[tokio::test]
+async fn a_stale_connection_is_not_replaced_for_nobody() {
+    for why in ["client left", "drained"] {
+        let (transport, mut seen, listener) = one_upstream(settings()).await;
+        let dial = listener.local_addr().expect("an address");
+        let stream = pooled_connection(&transport, &mut seen, &listener).await;
+        drop(stream);
+        let (attempt, mut wanted) = attempt();
+        transport.attempt(attempt);
+        let expected = match why {
+            "client left" => {
+                wanted.client = None;
+                Outcome::NotSent
+            }
+            _ => {
+                transport.update_upstream(UPSTREAM, Peer { serving: false, ..peer(dial, 0) });
+                Outcome::Unreachable
+            }
+        };
+        assert_eq!(seen.end().await, (RequestId(2), expected), "{why}");
+        assert!(!is_connected_to(listener), "{why}");
+    }
+}
--- /dev/null
+++ b/crates/node/src/transports/http1/tests/connections.rs
@@ -0,0 +1,75 @@
+//! Connections that come up late or never, and what their sockets and permits do.
+
+use std::net::Ipv4Addr;
+
+use sagemast::api::Outcome;
+use socket2::{Domain, Socket, Type};
+
+use super::*;
+
+/// An upstream to which no connection comes up, since its backlog is full.
+pub(super) struct HangingUpstream {
+    pub(super) address: SocketAddr,
+    _listener: Socket,
+    _backlog: Vec<Socket>,
+}
+
+impl HangingUpstream {
+    pub(super) fn new() -> HangingUpstream {
+        let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        listener.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("a port");
+        listener.listen(0).expect("a listener");
+        let address = listener.local_addr().expect("an address").as_socket().expect("an IP address");
+        let backlog = (0..4).map(|_| {
+            let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+            socket.set_nonblocking(true).expect("an option");
+            let _ = socket.connect(&address.into());
+            socket
+        });
+        HangingUpstream { address, _backlog: backlog.collect(), _listener: listener }
+    }
+}
+
+#[tokio::test]
+async fn a_connection_that_never_comes_up_ends_its_attempt_and_returns_its_permit() {
+    let (transport, mut seen) =
+        transport_with(Settings { connect_timeout: Duration::from_millis(100), ..settings() });
+    let hanging = HangingUpstream::new();
+    transport.update_upstream(UPSTREAM, peer(hanging.address, 0));
+    let (attempt, _wanted) = attempt();
+    transport.attempt(attempt);
+    assert_eq!(seen.answer().await.0, Outcome::Unreachable);
+    assert_eq!(transport.shared.permits.available_permits(), 2);
+}
+
+#[tokio::test]
+async fn an_attempt_given_up_while_it_connects_ends_and_returns_its_permit() {
+    let (transport, mut seen) = transport_with(settings());
+    let hanging = HangingUpstream::new();
+    transport.update_upstream(UPSTREAM, peer(hanging.address, 0));
+    let (attempt, mut wanted) = attempt();
+    transport.attempt(attempt);
+    tokio::task::yield_now().await;
+    assert_eq!(transport.shared.permits.available_permits(), 1);
+    wanted.give_up = None;
+    assert_eq!(seen.answer().await.0, Outcome::NotSent);
+    assert_eq!(transport.shared.permits.available_permits(), 2);
+}
+
+/// A connection that is up when its attempt is over serves the next one.
+#[tokio::test]
+async fn a_late_connection_goes_to_the_pool() {
+    let (transport, mut seen, listener) = one_upstream(settings()).await;
+    let (attempt, mut wanted) = attempt();
+    transport.attempt(attempt);
+    wanted.answer_owed = None;
+    assert_eq!(seen.answer().await.0, Outcome::NotSent);
+    until_idle(&transport, 1).await;
+    let (attempt, _wanted) = super::attempt();
+    transport.attempt(attempt);
+    let mut stream = accept(&listener).await;
+    read_head(&mut stream).await;
+    write(&mut stream, OK_FIRST).await;
+    assert_eq!(seen.answer().await.0, Outcome::Ok);
+    assert_eq!(transport.counts().reused, 1);
+}
--- /dev/null
+++ b/crates/node/src/transports/http1/tests/mod.rs
@@ -0,0 +1,156 @@
+//! The transport against upstreams on loopback that do what a test tells them.
+
+mod answers;
+mod before_the_first_byte;
+mod connections;
+mod key_window;
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::header::HeaderMap;
+use hyper::{Method, Uri};
+use sagemast::api::{AttemptNo, RequestId, UpstreamId};
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout};
+
+use super::{Http1, Settings};
+use crate::engine::{Attempt, Flight, Forward, Interest, Names, Peer, Seen, Transport, Ways};
+
+const UPSTREAM: UpstreamId = UpstreamId(7);
+/// More than the kernel holds for a connection that is not read from.
+const HUGE_BODY: usize = 64 << 20;
+const OK_FIRST: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+
+fn settings() -> Settings {
+    Settings {
+        connections: 2,
+        connect_timeout: Duration::from_secs(10),
+        idle_limit: Duration::from_secs(10),
+        probe_path: "/alive",
+    }
+}
+
+/// A transport, and what it tells.
+fn transport_with(settings: Settings) -> (Http1, Seen) {
+    let ways = Ways::new(Names { classes: Vec::new(), tenants: Vec::new() });
+    (Http1::new(settings, ways.reports), ways.inbox.seen())
+}
+
+fn peer(dial: SocketAddr, life: u64) -> Peer {
+    Peer { host: "a".into(), dial, life, zone: Some("z1".into()), serving: true }
+}
+
+/// A transport that knows one upstream, whose listener it is.
+async fn one_upstream(settings: Settings) -> (Http1, Seen, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let (transport, seen) = transport_with(settings);
+    transport.update_upstream(UPSTREAM, peer(listener.local_addr().expect("an address"), 0));
+    (transport, seen, listener)
+}
+
+/// What keeps an attempt wanted.
+struct Wanted {
+    give_up: Option<oneshot::Sender<()>>,
+    answer_owed: Option<Arc<()>>,
+    client: Option<Arc<()>>,
+}
+
+fn attempt_with(method: Method, body: Bytes) -> (Attempt, Wanted) {
+    let forward = Forward { method, target: Uri::from_static("/fetch"), headers: HeaderMap::new(), body };
+    let (give_up, given_up) = oneshot::channel();
+    let (answer_owed, client) = (Arc::new(()), Arc::new(()));
+    let flight = Flight {
+        request: RequestId(2),
+        attempt: AttemptNo(0),
+        upstream: UPSTREAM,
+        until: Instant::now() + Duration::from_secs(10),
+    };
+    let interest = Interest::until_answered(&answer_owed).while_client_holds(Arc::downgrade(&client));
+    let attempt =
+        Attempt { flight, forward: Arc::new(forward), given_up, interest, key_window: None, pass: None };
+    let wanted = Wanted { give_up: Some(give_up), answer_owed: Some(answer_owed), client: Some(client) };
+    (attempt, wanted)
+}
+
+/// An attempt with no body.
+fn attempt() -> (Attempt, Wanted) {
+    attempt_with(Method::GET, Bytes::new())
+}
+
+/// An attempt whose body does not fit into a connection that is not read from.
+fn huge_attempt() -> (Attempt, Wanted) {
+    attempt_with(Method::POST, Bytes::from(vec![b'x'; HUGE_BODY]))
+}
+
+/// The next connection of the transport.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    let accepted = timeout(Duration::from_secs(10), listener.accept()).await;
+    accepted.expect("a connection in time").expect("a connection").0
+}
+
+/// Whether a connection waits to be accepted.
+fn is_connected_to(listener: TcpListener) -> bool {
+    listener.into_std().expect("a listener").accept().is_ok()
+}
+
+/// Reads the head of a request.
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("a byte of the head"));
+    }
+    String::from_utf8(head).expect("text")
+}
+
+async fn write(stream: &mut TcpStream, bytes: &[u8]) {
+    stream.write_all(bytes).await.expect("written");
+}
+
+/// Resets a connection.
+fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+}
+
+/// How many further bytes come until the transport closes the connection.
+async fn bytes_until_closed(stream: &mut TcpStream) -> usize {
+    let (mut bytes, mut total) = (vec![0; 64 << 10], 0);
+    loop {
+        match stream.read(&mut bytes).await {
+            Ok(0) => return total,
+            Ok(count) => total += count,
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => return total,
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+/// Waits until the transport keeps so many idle connections.
+async fn until_idle(transport: &Http1, count: usize) {
+    for _ in 0..10_000 {
+        if transport.idle() == count {
+            return;
+        }
+        tokio::task::yield_now().await;
+    }
+    panic!("{} connections are idle", transport.idle());
+}
+
+/// Serves one request, after which the transport keeps the connection.
+async fn pooled_connection(transport: &Http1, seen: &mut Seen, listener: &TcpListener) -> TcpStream {
+    let (attempt, _wanted) = attempt();
+    transport.attempt(attempt);
+    let mut stream = accept(listener).await;
+    read_head(&mut stream).await;
+    write(&mut stream, OK_FIRST).await;
+    let (_, answer) = seen.answer().await;
+    assert_eq!(answer.expect("an answer").body, "first");
+    until_idle(transport, 1).await;
+    stream
+}
--- /dev/null
+++ b/crates/node/src/transports/http1/transport.rs
@@ -0,0 +1,179 @@
+//! What the transport knows of upstreams, and where connections to them come from.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use sagemast::api::{Outcome, UpstreamId};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+use tracing::warn;
+
+use super::connection::Connection;
+use super::pool::Pool;
+use super::settings::Settings;
+use crate::engine::{Attempt, Counts, End, Peer, Reports, Transport};
+
+/// The transport.
+pub struct Http1 {
+    pub(super) shared: Arc<Shared>,
+}
+
+/// What the transport shares with the tasks of its attempts and probes.
+pub(super) struct Shared {
+    pub(super) settings: Settings,
+    pub(super) permits: Arc<Semaphore>,
+    pub(super) reports: Reports,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+pub(super) struct State {
+    upstreams: HashMap<UpstreamId, Upstream>,
+    pub(super) counts: Counts,
+}
+
+/// An upstream and the idle connections to it.
+struct Upstream {
+    peer: Peer,
+    pool: Pool,
+}
+
+/// Where an attempt or a probe gets its connection.
+pub(super) enum Source {
+    /// One that is open.
+    Pooled(Box<Connection>),
+    /// A new one.
+    Dial(OwnedSemaphorePermit),
+}
+
+impl Source {
+    /// Whether it may have been closed by its upstream since it was last used.
+    pub(super) fn is_pooled(&self) -> bool {
+        matches!(self, Source::Pooled(_))
+    }
+}
+
+impl Http1 {
+    /// A transport that knows no upstream yet.
+    pub fn new(settings: Settings, reports: Reports) -> Http1 {
+        let permits = Arc::new(Semaphore::new(settings.connections));
+        Http1 { shared: Arc::new(Shared { settings, permits, reports, state: Mutex::default() }) }
+    }
+}
+
+impl Transport for Http1 {
+    fn update_upstream(&self, upstream: UpstreamId, peer: Peer) {
+        let mut state = self.shared.state();
+        let known = state
+            .upstreams
+            .entry(upstream)
+            .or_insert_with(|| Upstream { peer: peer.clone(), pool: Pool::default() });
+        // Connections to another address or another life lead nowhere, or to the wrong process.
+        if known.peer.life != peer.life || !peer.serving {
+            known.pool.clear();
+        }
+        known.peer = peer;
+    }
+
+    fn remove_upstream(&self, upstream: UpstreamId) {
+        self.shared.state().upstreams.remove(&upstream);
+    }
+
+    fn attempt(&self, mut attempt: Attempt) {
+        let flight = attempt.flight;
+        let source = if attempt.is_wanted() { self.shared.source(flight.upstream) } else { None };
+        // An idle connection is taken now, in the order in which the module has sent.
+        match source {
+            Some((source, peer)) => {
+                tokio::spawn(self.shared.clone().run_attempt(attempt, source, peer));
+            }
+            None => self.shared.reports.ended(flight, End::Outcome(Outcome::NotSent, None)),
+        }
+    }
+
+    fn probe(&self, upstream: UpstreamId, until: Instant) {
+        tokio::spawn(self.shared.clone().run_probe(upstream, until));
+    }
+
+    fn sweep(&self) {
+        let limit = self.shared.settings.idle_limit;
+        self.shared.state().upstreams.values_mut().for_each(|upstream| upstream.pool.sweep(limit));
+    }
+
+    fn counts(&self) -> Counts {
+        std::mem::take(&mut self.shared.state().counts)
+    }
+
+    fn idle(&self) -> usize {
+        self.shared.state().upstreams.values().map(|upstream| upstream.pool.count()).sum()
+    }
+}
+
+impl Shared {
+    /// Held for moments only, never over a wait.
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection, or the right to a new one. `None` for an upstream that is not known, and out of sockets
+    /// of our own: neither is a fault of the upstream's.
+    pub(super) fn source(&self, id: UpstreamId) -> Option<(Source, Peer)> {
+        let mut state = self.state();
+        let State { upstreams, counts } = &mut *state;
+        let upstream = upstreams.get_mut(&id)?;
+        let peer = upstream.peer.clone();
+        if let Some(connection) = upstream.pool.take(self.settings.idle_limit) {
+            counts.reused += 1;
+            return Some((Source::Pooled(Box::new(connection)), peer));
+        }
+        let permit = self.permit(upstreams);
+        match permit {
+            Some(_) => counts.opened += 1,
+            None => counts.no_descriptor += 1,
+        }
+        permit.map(|permit| (Source::Dial(permit), peer))
+    }
+
+    /// The right to one more connection; an idle one is closed for it if need be.
+    fn permit(&self, upstreams: &mut HashMap<UpstreamId, Upstream>) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = self.permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        let pools = upstreams.values_mut().map(|upstream| &mut upstream.pool);
+        if let Some(pool) = pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest()) {
+            drop(pool.take_oldest());
+        }
+        self.permits.clone().try_acquire_owned().ok()
+    }
+
+    /// The connection of a source, opened by `until` if it is not open. `None` if it does not come up.
+    pub(super) async fn connect(&self, source: Source, peer: &Peer, until: Instant) -> Option<Connection> {
+        let permit = match source {
+            Source::Pooled(connection) => return Some(*connection),
+            Source::Dial(permit) => permit,
+        };
+        let until = until.min(Instant::now() + self.settings.connect_timeout);
+        match Connection::open(peer.dial, until, permit).await {
+            Ok(connection) => Some(connection),
+            Err(reason) => {
+                warn!("upstream {}: {reason}", peer.host);
+                None
+            }
+        }
+    }
+
+    /// What is known of an upstream now.
+    pub(super) fn peer(&self, id: UpstreamId) -> Option<Peer> {
+        self.state().upstreams.get(&id).map(|upstream| upstream.peer.clone())
+    }
+
+    /// Keeps a connection for the next, once it can take one.
+    pub(super) async fn keep(&self, id: UpstreamId, life: u64, connection: Connection) {
+        let Some(connection) = connection.settle().await else { return };
+        let mut state = self.state();
+        let Some(upstream) = state.upstreams.get_mut(&id) else { return };
+        if upstream.peer.life == life && upstream.peer.serving && connection.is_usable() {
+            upstream.pool.put(connection);
+        }
+    }
+}
