Keep stale bytes, early answers and early permits from crossing into the next request

Cause, from reading and forced by tests: - Pool::take trusted SendRequest::is_ready, as new as the last turn of the event loop: bytes that lay in the socket were read as the answer to the next request. The socket is now read past tokio right before the first byte; any byte or end closes the connection, and the attempt or probe goes on over another. The connection's task now returns the permit after the socket; an idle connection that gives way hands its permit on.

--- a/crates/node/src/engine/ways.rs
+++ b/crates/node/src/engine/ways.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// The next probe's answer.
+    pub(crate) async fn probed(&mut self) -> Option<super::message::Answer> {
+        match self.0.recv().await {
+            Some(Happening::Probed { answer, .. }) => answer,
+            _ => panic!("no probe has ended"),
+        }
+    }
+
     /// The next end.
     pub(crate) async fn end(&mut self) -> (sagemast::api::RequestId, sagemast::api::Outcome) {
         match self.0.recv().await {
--- a/crates/node/src/transports/http1/attempt.rs
+++ b/crates/node/src/transports/http1/attempt.rs
@@ -193,7 +193,7 @@
         let progress = Progress { stream: connection.stream.clone(), before, complete_at: before + size };
         let window_closes = closes(attempt);
         let exchanged = {
-            let exchange = exchange(&mut connection, request, Box::new(rules));
+            let exchange = exchange(&mut connection, request, Box::new(rules), progress.complete_at);
             tokio::select! {
                 biased;
                 result = exchange => result,
@@ -216,7 +216,7 @@
         let used = connection.used;
         connection.close().await;
         let broken_unwritten = matches!(failure, Failure::Broken(_)) && progress.is_unwritten();
-        if broken_unwritten && pooled && progress.stream.withheld().is_none() {
+        if broken_unwritten && pooled && is_stale(progress.stream.withheld()) {
             return ExchangeEnd::Stale;
         }
         ExchangeEnd::Ended(end_of_failure(failure, &progress, used))
@@ -237,6 +237,11 @@
     }
 }
 
+/// Whether a connection that broke before anything was written had only been idle for too long.
+fn is_stale(withheld: Option<Withheld>) -> bool {
+    matches!(withheld, None | Some(Withheld::Closed | Withheld::UnexpectedBytes))
+}
+
 /// The end of an attempt of which nothing was written.
 fn end_of_unwritten(reason: Withheld) -> End {
     match reason {
@@ -246,6 +251,10 @@
         Withheld::TimeIsUp | Withheld::NotServing | Withheld::NoExchange => {
             End::Outcome(Outcome::Unreachable, None)
         }
+        Withheld::Closed => End::Broken(Outcome::Unreachable, "closed before the request".to_owned()),
+        Withheld::UnexpectedBytes => {
+            End::Broken(Outcome::Unreachable, "bytes came before the request".to_owned())
+        }
     }
 }
 
@@ -259,6 +268,10 @@
     match failure {
         Failure::GivenUp if progress.is_unwritten() => End::Outcome(Outcome::NotSent, None),
         Failure::KeyWindowClosed if progress.is_unwritten() => end_of_unwritten(Withheld::KeyWindowClosed),
+        // The upstream says that it never ran.
+        Failure::Early(answer) if outcome_of(&answer) == Outcome::Full => {
+            End::Outcome(Outcome::Full, Some(answer))
+        }
         Failure::GivenUp => End::Outcome(Outcome::Cancelled, None),
         failure if progress.is_whole() => end_of_written(failure, used),
         failure => end_of_partly_written(failure),
@@ -272,6 +285,9 @@
             let what = if used { "a used connection" } else { "a new connection" };
             End::Broken(Outcome::Reset, format!("{what} broke: {}", explain(&error)))
         }
+        Failure::Early(_) => {
+            End::Broken(Outcome::Reset, "answered before the request was written".to_owned())
+        }
         Failure::TooLong => End::Broken(Outcome::Error, format!("an answer longer than {BODY_BYTES} bytes")),
         Failure::TimedOut => End::Outcome(Outcome::TimedOut, None),
         Failure::GivenUp => End::Outcome(Outcome::Cancelled, None),
@@ -283,6 +299,11 @@
 fn end_of_partly_written(failure: Failure) -> End {
     match failure {
         Failure::Broken(error) => End::Broken(Outcome::Unreachable, explain(&error)),
+        Failure::Early(answer) => {
+            let status = answer.status.as_u16();
+            let reason = format!("answered {status} before the request was written");
+            End::Broken(Outcome::Unreachable, reason)
+        }
         Failure::TooLong => End::Broken(Outcome::Unreachable, "a long answer before the request".to_owned()),
         Failure::KeyWindowClosed => End::Broken(Outcome::Unreachable, KEY_WINDOW_CLOSED.to_owned()),
         Failure::TimedOut | Failure::GivenUp => End::Outcome(Outcome::Unreachable, None),
--- a/crates/node/src/transports/http1/connection.rs
+++ b/crates/node/src/transports/http1/connection.rs
@@ -21,6 +21,9 @@
 const SETTLE: Duration = Duration::from_millis(100);
 
 /// An open connection. Dropped, it is closed by its task soon after; [`Connection::close`] waits until it is.
+///
+/// The task owns the socket and the permit for it, and lets go of the permit after the socket: there are never more
+/// sockets than permits.
 pub struct Connection {
     /// For the next exchange.
     pub sender: SendRequest<Full<Bytes>>,
@@ -32,8 +35,7 @@
     pub idle_since: Instant,
     /// Dropped or used to close it.
     close: oneshot::Sender<()>,
-    task: JoinHandle<()>,
-    _permit: OwnedSemaphorePermit,
+    task: JoinHandle<OwnedSemaphorePermit>,
 }
 
 impl Connection {
@@ -63,16 +65,9 @@
                 _ = closed => {}
                 _ = connection => {}
             }
+            permit
         });
-        Ok(Connection {
-            sender,
-            stream,
-            used: false,
-            idle_since: Instant::now(),
-            close,
-            task,
-            _permit: permit,
-        })
+        Ok(Connection { sender, stream, used: false, idle_since: Instant::now(), close, task })
     }
 
     /// Whether it can take a request now, as far as this side has heard.
@@ -80,10 +75,10 @@
         self.sender.is_ready()
     }
 
-    /// Closes it; when this returns, the socket is closed.
-    pub async fn close(self) {
+    /// Closes it. When this returns the socket is closed, and its permit is free for another.
+    pub async fn close(self) -> Option<OwnedSemaphorePermit> {
         drop(self.close);
-        let _ = self.task.await;
+        self.task.await.ok()
     }
 
     /// Waits until the next request can be sent. `None` if the upstream closes it.
--- a/crates/node/src/transports/http1/exchange.rs
+++ b/crates/node/src/transports/http1/exchange.rs
@@ -18,6 +18,8 @@
 pub enum Failure {
     /// The connection broke, or the answer was no HTTP.
     Broken(hyper::Error),
+    /// An answer that began before the request's last byte was written.
+    Early(Answer),
     /// An answer that is too long to take.
     TooLong,
     /// The engine gave it up.
@@ -28,17 +30,21 @@
     KeyWindowClosed,
 }
 
-/// Sends a request once and reads its answer whole.
+/// Sends a request once and reads its answer whole. `complete_at` is the count of bytes written at which the request
+/// can have been written whole.
 pub async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
     rules: Box<dyn WriteRules>,
+    complete_at: u64,
 ) -> Result<Answer, Failure> {
     // From here on, and until this returns or is dropped, the request may be written.
     let _exchange = connection.stream.begin_exchange(rules);
     let response = connection.sender.send_request(request).await.map_err(Failure::Broken)?;
     connection.used = true;
-    read_answer(response).await
+    let early = connection.stream.written() < complete_at;
+    let answer = read_answer(response).await?;
+    if early { Err(Failure::Early(answer)) } else { Ok(answer) }
 }
 
 /// Reads the rest of an answer. One with no length ends with its connection; where that is reset, it has no end.
--- a/crates/node/src/transports/http1/probe.rs
+++ b/crates/node/src/transports/http1/probe.rs
@@ -5,7 +5,7 @@
 use sagemast::api::UpstreamId;
 use tokio::time::{Instant, timeout_at};
 
-use super::exchange::{exchange, probe_request};
+use super::exchange::{exchange, probe_request, size_on_the_wire};
 use super::stream::{Withheld, WriteRules};
 use super::transport::Shared;
 use crate::engine::Answer;
@@ -43,7 +43,9 @@
         let Some(mut connection) = self.connect(source, &peer, until).await else { return ProbeEnd::Failed };
         let before = connection.stream.written();
         let request = probe_request(self.settings.probe_path, peer.dial);
-        let exchanged = timeout_at(until, exchange(&mut connection, request, Box::new(Always))).await;
+        let complete_at = before + size_on_the_wire(&request, 0);
+        let exchanged =
+            timeout_at(until, exchange(&mut connection, request, Box::new(Always), complete_at)).await;
         if let Ok(Ok(answer)) = exchanged {
             self.tell_probed(upstream, answer);
             self.keep(upstream, peer.life, connection).await;
--- a/crates/node/src/transports/http1/stream.rs
+++ b/crates/node/src/transports/http1/stream.rs
@@ -5,17 +5,23 @@
 //! no gap between the decision and the first byte.
 
 use std::io::{self, ErrorKind, IoSlice};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Why a write was not made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Withheld {
+    /// The upstream had closed or reset the connection before anything was written.
+    Closed,
+    /// The upstream had sent bytes that no request of this exchange can have caused.
+    UnexpectedBytes,
     /// No exchange is under way.
     NoExchange,
     /// Nobody waits for the answer any more.
@@ -69,20 +75,21 @@
         ExchangeGuard(self.clone())
     }
 
-    /// Decides on a write that is about to be made.
-    fn check(&self) -> io::Result<()> {
-        self.decide().map_err(|reason| {
+    /// Decides on a write that is about to be made to this socket.
+    fn check(&self, socket: &TcpStream) -> io::Result<()> {
+        self.decide(socket).map_err(|reason| {
             lock(&self.withheld).get_or_insert(reason);
             io::Error::new(ErrorKind::ConnectionAborted, "the write was withheld")
         })
     }
 
-    fn decide(&self) -> Result<(), Withheld> {
+    fn decide(&self, socket: &TcpStream) -> Result<(), Withheld> {
         let mut exchange = lock(&self.exchange);
         let Some(Exchange { rules, begun }) = exchange.as_mut() else { return Err(Withheld::NoExchange) };
         if *begun {
             return rules.proceed();
         }
+        check_quiet(socket)?;
         rules.begin()?;
         *begun = true;
         Ok(())
@@ -102,6 +109,22 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Checks that neither bytes nor an end wait in the socket.
+///
+/// It reads past tokio, which believes that a socket is empty until the next turn of its driver says otherwise. A
+/// byte that it takes is missed by nobody: a connection with such a byte is closed.
+fn check_quiet(socket: &TcpStream) -> Result<(), Withheld> {
+    loop {
+        match SockRef::from(socket).recv(&mut [MaybeUninit::uninit()]) {
+            Ok(0) => return Err(Withheld::Closed),
+            Ok(_) => return Err(Withheld::UnexpectedBytes),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(_) => return Err(Withheld::Closed),
+        }
+    }
+}
+
 /// A stream that counts its writes and asks before each.
 pub struct GuardedStream {
     socket: TcpStream,
@@ -120,7 +143,7 @@
         &mut self,
         write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
-        if let Err(error) = self.state.check() {
+        if let Err(error) = self.state.check(&self.socket) {
             return Poll::Ready(Err(error));
         }
         let result = write(Pin::new(&mut self.socket));
--- a/crates/node/src/transports/http1/tests/answers.rs
+++ b/crates/node/src/transports/http1/tests/answers.rs
@@ -107,6 +107,33 @@
     assert_eq!(outcome_of(&bytes, Ending::KeptOpen).await, (Outcome::Error, None));
 }
 
+/// The outcome of an attempt whose request cannot be written whole, when the upstream sends this.
+async fn early_outcome_of(bytes: &[u8], ending: Ending) -> Outcome {
+    let (transport, mut seen, listener) = one_upstream(settings()).await;
+    let (attempt, _wanted) = huge_attempt();
+    transport.attempt(attempt);
+    let mut stream = accept(&listener).await;
+    read_head(&mut stream).await;
+    write(&mut stream, bytes).await;
+    let kept = ending.apply_to(stream);
+    let outcome = seen.answer().await.0;
+    if let Some(mut stream) = kept {
+        assert!(bytes_until_closed(&mut stream).await < HUGE_BODY, "the rest is never written");
+    }
+    assert_eq!(transport.idle(), 0, "its connection is not used again");
+    outcome
+}
+
+/// No server begins a request before its last byte: what comes earlier is no answer to it.
+#[tokio::test]
+async fn an_answer_before_the_last_byte_of_the_request_serves_nobody() {
+    let full = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n";
+    assert_eq!(early_outcome_of(OK_FIRST, Ending::KeptOpen).await, Outcome::Unreachable);
+    assert_eq!(early_outcome_of(full, Ending::KeptOpen).await, Outcome::Full);
+    assert_eq!(early_outcome_of(b"", Ending::Reset).await, Outcome::Unreachable);
+    assert_eq!(early_outcome_of(b"HTTP/1.1 200 OK\r\n\r\nfirst", Ending::Reset).await, Outcome::Unreachable);
+}
+
 /// Given up while its body is being written: the rest of it is never written.
 #[tokio::test]
 async fn an_attempt_that_is_given_up_is_closed_before_its_end_is_told() {
@@ -157,7 +184,7 @@
         let request = upstream_request(&forward, dial, until);
         let before = connection.stream.written();
         let size = size_on_the_wire(&request, body.len());
-        let exchanged = exchange(&mut connection, request, Box::new(Always));
+        let exchanged = exchange(&mut connection, request, Box::new(Always), before + size);
         let served = async {
             read_head(&mut stream).await;
             let mut read = vec![0; body.len()];
--- a/crates/node/src/transports/http1/tests/connections.rs
+++ b/crates/node/src/transports/http1/tests/connections.rs
@@ -1,11 +1,13 @@
 //! Connections that come up late or never, and what their sockets and permits do.
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, TcpStream as BlockingStream};
 
 use sagemast::api::Outcome;
 use socket2::{Domain, Socket, Type};
+use tokio::sync::Semaphore;
 
 use super::*;
+use crate::transports::http1::connection::Connection;
 
 /// An upstream to which no connection comes up, since its backlog is full.
 pub(super) struct HangingUpstream {
@@ -73,3 +75,40 @@
     assert_eq!(seen.answer().await.0, Outcome::Ok);
     assert_eq!(transport.counts().reused, 1);
 }
+
+/// A dropped connection keeps its permit until its socket is closed.
+#[tokio::test]
+async fn a_permit_returns_after_its_socket_is_closed() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let permits = Arc::new(Semaphore::new(1));
+    let permit = permits.clone().acquire_owned().await.expect("a permit");
+    let until = Instant::now() + Duration::from_secs(10);
+    let connection = Connection::open(address, until, permit).await.expect("a connection");
+    let (mut stream, _): (BlockingStream, _) = listener.accept().expect("a connection");
+    stream.set_nonblocking(true).expect("an option");
+    drop(connection);
+    assert_eq!(permits.available_permits(), 0, "its socket is still open");
+    let _permit = permits.acquire().await.expect("a permit");
+    let read = std::io::Read::read(&mut stream, &mut [0]);
+    assert_eq!(read.ok(), Some(0), "its socket is closed");
+}
+
+/// With no permit left an idle connection to another upstream is closed, and its permit serves.
+#[tokio::test]
+async fn an_idle_connection_gives_way_to_a_new_one() {
+    let (transport, mut seen, listener) = one_upstream(Settings { connections: 1, ..settings() }).await;
+    let mut idle = pooled_connection(&transport, &mut seen, &listener).await;
+    let other = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let other_upstream = UpstreamId(8);
+    transport.update_upstream(other_upstream, peer(other.local_addr().expect("an address"), 0));
+    let (mut attempt, _wanted) = attempt();
+    attempt.flight.upstream = other_upstream;
+    transport.attempt(attempt);
+    let mut stream = accept(&other).await;
+    assert_eq!(bytes_until_closed(&mut idle).await, 0);
+    read_head(&mut stream).await;
+    write(&mut stream, OK_SECOND).await;
+    assert_eq!(seen.answer().await.0, Outcome::Ok);
+    assert_eq!(transport.counts().no_descriptor, 0);
+}
--- a/crates/node/src/transports/http1/tests/mod.rs
+++ b/crates/node/src/transports/http1/tests/mod.rs
@@ -4,6 +4,7 @@
 mod before_the_first_byte;
 mod connections;
 mod key_window;
+mod pool;
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -27,6 +28,7 @@
 /// More than the kernel holds for a connection that is not read from.
 const HUGE_BODY: usize = 64 << 20;
 const OK_FIRST: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+const OK_SECOND: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
 
 fn settings() -> Settings {
     Settings {
--- a/crates/node/src/transports/http1/transport.rs
+++ b/crates/node/src/transports/http1/transport.rs
@@ -44,6 +44,8 @@
     Pooled(Box<Connection>),
     /// A new one.
     Dial(OwnedSemaphorePermit),
+    /// A new one, once this idle one is closed for it.
+    Replace(Box<Connection>),
 }
 
 impl Source {
@@ -122,28 +124,29 @@
         let State { upstreams, counts } = &mut *state;
         let upstream = upstreams.get_mut(&id)?;
         let peer = upstream.peer.clone();
-        if let Some(connection) = upstream.pool.take(self.settings.idle_limit) {
+        let free = self.permits.available_permits();
+        let Settings { idle_limit, connections, .. } = self.settings;
+        if let Some(connection) = upstream.pool.take(idle_limit, free, connections) {
             counts.reused += 1;
             return Some((Source::Pooled(Box::new(connection)), peer));
         }
-        let permit = self.permit(upstreams);
-        match permit {
+        let source = self.dial_source(upstreams);
+        match source {
             Some(_) => counts.opened += 1,
             None => counts.no_descriptor += 1,
         }
-        permit.map(|permit| (Source::Dial(permit), peer))
+        source.map(|source| (source, peer))
     }
 
-    /// The right to one more connection; an idle one is closed for it if need be.
-    fn permit(&self, upstreams: &mut HashMap<UpstreamId, Upstream>) -> Option<OwnedSemaphorePermit> {
+    /// The right to one more connection; the one that is longest idle is closed for it if need be.
+    fn dial_source(&self, upstreams: &mut HashMap<UpstreamId, Upstream>) -> Option<Source> {
         if let Ok(permit) = self.permits.clone().try_acquire_owned() {
-            return Some(permit);
+            return Some(Source::Dial(permit));
         }
         let pools = upstreams.values_mut().map(|upstream| &mut upstream.pool);
-        if let Some(pool) = pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest()) {
-            drop(pool.take_oldest());
-        }
-        self.permits.clone().try_acquire_owned().ok()
+        let oldest =
+            pools.filter(|pool| pool.oldest().is_some()).min_by_key(|pool| pool.oldest())?.take_oldest()?;
+        Some(Source::Replace(Box::new(oldest)))
     }
 
     /// The connection of a source, opened by `until` if it is not open. `None` if it does not come up.
@@ -151,6 +154,7 @@
         let permit = match source {
             Source::Pooled(connection) => return Some(*connection),
             Source::Dial(permit) => permit,
+            Source::Replace(connection) => connection.close().await?,
         };
         let until = until.min(Instant::now() + self.settings.connect_timeout);
         match Connection::open(peer.dial, until, permit).await {
@@ -167,7 +171,8 @@
         self.state().upstreams.get(&id).map(|upstream| upstream.peer.clone())
     }
 
-    /// Keeps a connection for the next, once it can take one.
+    /// Keeps a connection for the next, once it can take one. Bytes that the upstream sends before that close it;
+    /// what it sends later is seen before the next request's first byte.
     pub(super) async fn keep(&self, id: UpstreamId, life: u64, connection: Connection) {
         let Some(connection) = connection.settle().await else { return };
         let mut state = self.state();
