--- a/crates/node/src/engine/intake.rs
+++ b/crates/node/src/engine/intake.rs
@@ -1,8 +1,8 @@
 //! The seam towards fronts: a front hands each whole, checked request to the [`Intake`] and is given one final
 //! answer for it, whatever becomes of the request.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use hyper::Uri;
@@ -52,6 +52,8 @@
     pub request: RequestId,
     pub asked: Asked,
     pub reply: oneshot::Sender<Final>,
+    /// Alive while the client's own task waits.
+    pub client: Weak<()>,
 }
 
 /// Where all fronts hand in their requests. Counters only: the engine alone owns state.
@@ -93,8 +95,10 @@
     pub async fn ask(&self, asked: Asked) -> Final {
         let request = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
         let (reply, answer) = oneshot::channel();
-        let mut guard = Guard { request, intake: self, answered: false };
-        let arrival = Arrival { request, asked, reply };
+        let waiting = Arc::new(());
+        let client = Arc::downgrade(&waiting);
+        let mut guard = Guard { request, intake: self, answered: false, _waiting: waiting };
+        let arrival = Arrival { request, asked, reply, client };
         let _ = self.happenings.send(Happening::Arrived(Box::new(arrival)));
         let answer = answer.await;
         guard.answered = true;
@@ -108,6 +112,8 @@
     request: RequestId,
     intake: &'a Intake,
     answered: bool,
+    /// Lets attempts see that the client has gone before the engine has heard of it.
+    _waiting: Arc<()>,
 }
 
 impl Drop for Guard<'_> {
--- a/crates/node/src/fronts/http/connection.rs
+++ b/crates/node/src/fronts/http/connection.rs
@@ -22,7 +22,7 @@
 use tokio::time::{Instant, sleep_until};
 use tokio_util::io::InspectReader;
 
-use super::activity::Activity;
+use super::activity::{Activity, OpenRequest};
 use super::framing::Framing;
 use super::listener::Who;
 use super::request::{Context, body_bytes, handle};
@@ -36,8 +36,10 @@
 const IDLE: Duration = Duration::from_secs(75);
 /// The same while connections are scarce: idle ones must not keep others out.
 const IDLE_WHILE_SCARCE: Duration = Duration::from_secs(2);
-/// So long a client may take to close its side once we have closed ours.
+/// So long a client may take to close its side once we have closed ours...
 const CLOSE_TIME: Duration = Duration::from_millis(500);
+/// ...and while connections are scarce.
+const CLOSE_TIME_WHILE_SCARCE: Duration = Duration::from_millis(50);
 /// How often bytes that wait to be read may put off the close of an idle connection.
 const PUT_OFF: usize = 8;
 
@@ -66,8 +68,10 @@
     opened: Opened,
     front: &Arc<Front>,
 ) {
+    let scarce = opened.scarce.clone();
     if exchange(stream, &socket, who, opened, front).await == End::ByUs {
-        socket.close(CLOSE_TIME).await;
+        let limit = if *scarce.borrow() { CLOSE_TIME_WHILE_SCARCE } else { CLOSE_TIME };
+        socket.close(limit).await;
     }
 }
 
@@ -87,6 +91,7 @@
         who,
         socket: socket.clone(),
         opened: opened.at,
+        scarce: opened.scarce.clone(),
         activity: Activity::new(opened.at),
         framing: Mutex::default(),
     });
@@ -180,6 +185,8 @@
     shown: Arc<str>,
     socket: ClientSocket,
     opened: Instant,
+    /// Whether connections are scarce.
+    scarce: watch::Receiver<bool>,
     activity: Activity,
     framing: Mutex<Framing>,
 }
@@ -210,12 +217,19 @@
             in_flight.answered(response.status().as_u16());
         }
         let has_more = self.has_more(body);
-        if *self.front.phase.borrow() > Phase::Open && !has_more {
+        if self.is_last(&open) && !has_more {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(response)
     }
 
+    /// Whether nothing more is wanted on this connection. While connections are scarce that holds for clients of which
+    /// nothing shows that they come again: most of those that ask once keep their connection and rest.
+    fn is_last(&self, open: &OpenRequest<'_>) -> bool {
+        let is_ending = *self.front.phase.borrow() > Phase::Open;
+        is_ending || (open.is_first && *self.scarce.borrow())
+    }
+
     /// Whether the client may have sent more than the request that ends here, with a body of so many bytes.
     fn has_more(&self, body: Option<u64>) -> bool {
         let pipelined = self.framing.lock().unwrap_or_else(PoisonError::into_inner).end_of_request(body);
