Send cold servers less where more arrives than this sidecar's part of the servers can do

Cause: the chance of a cold server assumes that all sidecars together get what servers can carry. Ruled out: draws for several rounds (a cold pair drawn in vain ends them). Change: a decaying sum of the arrivals' service time, held against twice the sidecar's equal part of what servers can do in the rule's window, scales the chance down.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -106,6 +106,8 @@
 const SHUT_FOR: [Millis; 2] = [100.0, 1_600.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 pub const COLD_MARGIN: f64 = 0.5;
+/// A sidecar may have so many times its equal part of what servers can do: some see more than others.
+const UNEVEN: f64 = 2.0;
 /// How often a client tries a request that is refused again and again: once, and up to three times more.
 const TRIES: f64 = 4.0;
 
@@ -191,6 +193,9 @@
         let density = self.density(held.class);
         let usual = self.seen.usual_density.get_or_insert(density);
         *usual += SMOOTH_ALL * (density - *usual);
+        let decay = (-(self.now - self.seen.offered_at) / self.settings.safety.fall).exp();
+        self.seen.offered = self.seen.offered * decay + self.seen.service[id.0].time;
+        self.seen.offered_at = self.now;
         self.requests.insert(request, held);
         // Asked whether or not they are drawn: the others hear of these servers by this sidecar alone.
         self.guided.duty().into_iter().for_each(|id| self.probe(id, out));
@@ -285,17 +290,18 @@
     }
 
     /// Whether a server that was drawn may be sent one more: a cold one by what the fleet leased of it, else
-    /// by chance. An equal part of its budget is less than one request for each of many sidecars: a server is
-    /// drawn for at most two of `n` requests, and chance leaves it of those what its budget allows, for all.
+    /// by chance: of the two of `n` requests that it is drawn for, chance leaves what its budget allows.
     fn admits(&mut self, to: Candidate) -> bool {
         match self.guided.leased(&to, self.now) {
             None if to.pool == Pool::Cold => {}
             leased => return leased.unwrap_or(true),
         }
         let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0;
-        // Where there is no room elsewhere, more requests come than servers can carry, and more to this
-        // one: as often as clients try again, and no more often.
-        self.rng.rand_float() < share * (1.0 - self.seen.refused).max(1.0 / TRIES)
+        // Beyond our part of what servers can do chances fall as arrivals rise, and where all refuse.
+        let kappa = self.fleet.get(to.id).map_or(0.0, |server| self.kappa(server));
+        let part = self.fleet.serving(None) as f64 * kappa / self.seen.sharers.max(1.0);
+        let fits = (UNEVEN * part * self.settings.safety.fall / self.seen.offered).min(1.0);
+        self.rng.rand_float() < share * fits * (1.0 - self.seen.refused).max(1.0 / TRIES)
     }
 
     /// How many times its service time an answer may take, less while answers are late. The same for all: by
--- a/crates/sagemast/tests/cold/main.rs
+++ b/crates/sagemast/tests/cold/main.rs
@@ -5,9 +5,14 @@
 mod common;
 mod world;
 
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use sagemast::api::*;
 use world::{Burst, Count, Scenario, Server, play};
 
+/// The most arrivals of one scenario, which bounds the time of a run.
+const ARRIVALS: f64 = 6_000.0;
+const CASES: u32 = 48;
 const SEEDS: u64 = 5;
 
 /// Makes the scenario of a seed and a number of sidecars.
@@ -81,3 +86,70 @@
     }
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+fn any_server() -> impl Strategy<Value = (u8, f64, bool)> {
+    (1_u8..=4, 0.8..1.25, prop::bool::weighted(0.4))
+}
+
+fn any_safety() -> impl Strategy<Value = Safety> {
+    (0.1..0.5, 2_000.0..15_000.0, 2.0..4.0, 1_000.0..3_000.0).prop_map(
+        |(cold_share, warm_up, fall_multiple, fall)| Safety { cold_share, warm_up, fall_multiple, fall },
+    )
+}
+
+fn any_scenario() -> impl Strategy<Value = Scenario> {
+    let sizes = (1_u32..=300, prop::collection::vec(any_server(), 3..=200), 1_u64..=3, 1_usize..=6);
+    let traffic = (0.3..3.0, 1.0..8.0, 10.0..300.0, prop::option::of(1.4..2.5), 0.0..0.1);
+    let other = (any::<u32>(), any::<bool>(), prop::bool::weighted(0.2), prop::option::of(0.1..0.8));
+    (sizes, traffic, other, any_safety()).prop_map(drawn)
+}
+
+type Sizes = (u32, Vec<(u8, f64, bool)>, u64, usize);
+type Traffic = (f64, f64, f64, Option<f64>, f64);
+type Other = (u32, bool, bool, Option<f64>);
+
+fn drawn((sizes, traffic, other, safety): (Sizes, Traffic, Other, Safety)) -> Scenario {
+    let (sidecars, sizes, zones, to_a_cell) = sizes;
+    let (load, unevenness, least_service, burst, errors) = traffic;
+    let (seed, sizes_listed, all_cold, restart) = other;
+    let server = |(number, (cores, rough, starts_cold)): (usize, &(u8, f64, bool))| Server {
+        cores: f64::from(*cores),
+        listed_size: if sizes_listed { f64::from(*cores) * rough } else { 1.0 },
+        zone: number as u64 % zones,
+        cell: number as u64 % zones + zones * (number / to_a_cell) as u64,
+        starts_cold: *starts_cold || all_cold,
+    };
+    let servers: Vec<Server> = sizes.iter().enumerate().map(server).collect();
+    let lasts = 2.5 * safety.fall;
+    let cores: f64 = servers.iter().map(|server| server.cores).sum();
+    let service = f64::max(least_service, load * cores * (lasts + world::BEFORE) / ARRIVALS);
+    Scenario {
+        seed: u64::from(seed),
+        sidecars,
+        zones,
+        servers,
+        sizes_listed,
+        burst: burst.map(|factor| Burst { from: 0.3 * safety.fall, to: 1.5 * safety.fall, factor }),
+        restart: restart.map(|share| (0.7 * safety.fall, share)),
+        safety,
+        service,
+        load,
+        unevenness,
+        errors,
+        lasts,
+    }
+}
+
+#[test]
+fn any_fleet_keeps_the_bound() {
+    let config = Config { cases: CASES, failure_persistence: None, ..Config::default() };
+    let dice = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let outcome = TestRunner::new_with_rng(config, dice).run(&any_scenario().no_shrink(), |scenario| {
+        let count = play(&scenario);
+        let brief = Scenario { servers: Vec::new(), ..scenario.clone() };
+        let cold = scenario.servers.iter().filter(|server| server.starts_cold).count();
+        prop_assert!(count.fullest <= 1.0, "{count:?}, {cold} cold of {}: {brief:?}", scenario.servers.len());
+        Ok(())
+    });
+    assert!(outcome.is_ok(), "{}", outcome.unwrap_err());
+}
