--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -297,8 +297,8 @@
             leased => return leased.unwrap_or(true),
         }
         let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0;
-        // Beyond our part of what servers can do chances fall as arrivals rise, and where all refuse.
-        let kappa = self.fleet.get(to.id).map_or(0.0, |server| self.kappa(server));
+        // Beyond our part of what servers of known size can do chances fall, and where all refuse.
+        let kappa = self.fleet.get(to.id).filter(|s| self.sized(s)).map_or(f64::MAX, |s| self.kappa(s));
         let part = self.fleet.serving(None) as f64 * kappa / self.seen.sharers.max(1.0);
         let fits = (UNEVEN * part * self.settings.safety.fall / self.seen.offered).min(1.0);
         self.rng.rand_float() < share * fits * (1.0 - self.seen.refused).max(1.0 / TRIES)
