Bound sends to cold servers by a sidecar's part only where hundreds share a server

Change: the factor is the arrivals over which a sidecar learns the share refused, times a client's tries, over the sharers, and no less than two.

--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -106,7 +106,7 @@
 const SHUT_FOR: [Millis; 2] = [100.0, 1_600.0];
 /// The share of a cold server's allowance that is used: speeds and costs are estimates.
 pub const COLD_MARGIN: f64 = 0.5;
-/// A sidecar may have so many times its equal part of what servers can do: some see more than others.
+/// So many times its equal part of what servers can do a sidecar may have; more while few share a server.
 const UNEVEN: f64 = 2.0;
 /// How often a client tries a request that is refused again and again: once, and up to three times more.
 const TRIES: f64 = 4.0;
@@ -239,8 +239,7 @@
             let from = match within {
                 // A near server that has room answers sooner; its limit keeps it from being filled up.
                 From::Ready if round == 0 && self.settings.crossing_fee > 0.0 => From::Near,
-                // What a cold pair must not be sent yet goes to warm servers: the client would only ask
-                // again.
+                // What a cold pair must not be sent yet goes to warm servers: clients would only ask again.
                 From::Ready if cold_drawn => From::Warm,
                 within => within,
             };
@@ -299,8 +298,9 @@
         let share = COLD_MARGIN * self.settings.safety.fall_multiple * to.warmth / 2.0;
         // Beyond our part of what servers of known size can do chances fall, and where all refuse.
         let kappa = self.fleet.get(to.id).filter(|s| self.sized(s)).map_or(f64::MAX, |s| self.kappa(s));
-        let part = self.fleet.serving(None) as f64 * kappa / self.seen.sharers.max(1.0);
-        let fits = (UNEVEN * part * self.settings.safety.fall / self.seen.offered).min(1.0);
+        let part = self.fleet.serving(None) as f64 * kappa / self.seen.sharers;
+        let most = part * UNEVEN.max(TRIES / SMOOTH_ALL / self.seen.sharers);
+        let fits = (most * self.settings.safety.fall / self.seen.offered).min(1.0);
         self.rng.rand_float() < share * fits * (1.0 - self.seen.refused).max(1.0 / TRIES)
     }
 
