Give a new client the place of an idle connection at once

What callers saw: beside a crowd of idle connections new clients were not answered within their time.

Cause: while all places for clients were taken the listener accepted nothing, until a connection had been quiet for 2 s. 1,000 connections in 21 places are 47 such rounds. What waited in the kernel's queue was told its whole time once read.

Mend: with no place free, an idle connection closes for the new one. The listener asks, the connection's own task decides after it has read what the kernel holds, so that a request that has just come keeps its place. Where none is idle a new connection waits for half of the shortest deadline at the most and is closed unread; its wait is taken off the time of its request. Why this holds: the queue is emptied as fast as connections close, and nothing waits for a clock.

A test in tls.rs asked for the fault (a new client waits over 1 s for 21 silent connections); in its place 21 begun handshakes keep a client out, which is closed unread within 2 s and served once they are let go, and silent ones give up their places within 0.1 s.

--- a/crates/harelock/src/lib.rs
+++ b/crates/harelock/src/lib.rs
@@ -27,7 +27,7 @@
 use node::figures::Figures;
 use node::fronts::Phase;
 use node::fronts::address_lists::AddressLists;
-use node::fronts::http::{self, Front, Listeners};
+use node::fronts::http::{self, Capacity, Front, Listeners};
 use node::fronts::tls::{Source, Tls};
 use node::log;
 use node::operator::{self, Facts, Operator};
@@ -165,7 +165,11 @@
     let upstreams = http1::Settings::new(&config.settings, config.limits.upstreams());
     let transport = Box::new(Http1::new(upstreams, system_calls.clone(), reports));
     let roster = Box::new(source(&config, &system_calls, news.clone()));
-    let (clients, known) = (config.limits.clients(), config.known.as_ref().map(HostList::list));
+    let capacity = Capacity {
+        connections: config.limits.clients(),
+        shortest_deadline: Duration::from_secs_f64(config.settings.shortest_deadline_ms() / 1e3),
+    };
+    let known = config.known.as_ref().map(HostList::list);
     let platform = platform(&config.settings);
     let table = operator.table(&platform)?;
     let facts = Facts::new(&config.settings);
@@ -181,7 +185,7 @@
     let engine = Engine::new(config.settings, seed, table, surroundings, operator.capture.as_ref());
     let mut engine = tokio::spawn(operator.blame(engine)?.run(known));
     let listeners = Listeners { plain: listener, tls };
-    let serving = tokio::spawn(http::serve(listeners, front.clone(), clients));
+    let serving = tokio::spawn(http::serve(listeners, front.clone(), capacity));
 
     loop {
         tokio::select! {
--- a/crates/harelock/tests/tls.rs
+++ b/crates/harelock/tests/tls.rs
@@ -20,6 +20,9 @@
     ClientConfig, ClientConnection, RootCertStore, StreamOwned, SupportedProtocolVersion,
 };
 
+/// What a client may lose by others that are idle, handshake included.
+const MOST_LOST: Duration = Duration::from_millis(100);
+
 /// One that signs certificates.
 struct Ca {
     issuer: Issuer<'static, KeyPair>,
@@ -288,9 +291,9 @@
     assert_eq!(ask(&mut client(stage.address, &ca, None, &[&TLS13])), None, "no header");
 }
 
-/// Both ports share the places of clients, and what is held over TLS is finished at the end.
+/// What is held over TLS is finished at the end.
 #[test]
-fn caps_and_drains_are_those_of_the_plain_port() {
+fn drains_are_those_of_the_plain_port() {
     let go = Arc::new(AtomicUsize::new(0));
     let let_go = go.clone();
     let upstream = Upstream::new(move |m| {
@@ -308,23 +311,78 @@
     let answer = read_message(&mut std::io::BufReader::new(&mut held)).expect("a whole answer");
     assert_eq!((answer.status(), answer.body), (200, b"late".to_vec()));
     assert!(stage.sidecar.wait_exit().success());
+}
 
-    let known = ready(&[&upstream]);
+/// A sidecar with a third of 64 descriptors for clients of both ports, and where its port for TLS is.
+fn with_few_places(upstream: &Upstream, ca: &Ca) -> (Sidecar, SocketAddr, Discovery) {
+    let pair = ca.server(1);
+    let known = ready(&[upstream]);
     let discovery = Discovery::new(&known);
     let text = config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS);
-    let operator = format!("{{{}}}", section(&stage.cert, &stage.key, ""));
+    let operator = format!("{{{}}}", section(&file(&pair.cert), &file(&pair.key), ""));
     let sidecar = Sidecar::operated(&text, &operator);
     sidecar.wait_up();
     let log = sidecar.log.lock().unwrap().concat();
     let address = log.split_once("handshakes on ").unwrap().1.lines().next().unwrap().trim().parse().unwrap();
-    // A third of 64 descriptors, all in handshakes that do not go on.
+    (sidecar, address, discovery)
+}
+
+/// The clients that there are places for.
+const PLACES: usize = 64 / 3;
+
+#[test]
+fn both_ports_share_the_places_of_clients() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let (sidecar, address, _discovery) = with_few_places(&upstream, &Ca::new());
     let open = || std::fs::read_dir(format!("/proc/{}/fd", sidecar.child.id())).unwrap().count();
     let before = open();
-    let _silent: Vec<Client> = (0..21).map(|_| Client::to(address)).collect();
-    until("they are accepted", || open() >= before + 20);
+    // All in handshakes that do not go on.
+    let hello = hello(3);
+    let begun: Vec<Client> = (0..PLACES)
+        .map(|_| {
+            let mut peer = Client::to(address);
+            peer.write(&hello[..20]);
+            peer
+        })
+        .collect();
+    until("they are accepted", || open() >= before + PLACES - 1);
     let since = Instant::now();
-    assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200, "once there is a place");
+    let mut kept_out = Client::to(sidecar.address);
+    kept_out.send("fetch", 6_000);
+    assert!(kept_out.read().is_none(), "all places were taken");
+    assert!(since.elapsed() < Duration::from_secs(2), "it was held for {:?}", since.elapsed());
+    assert_eq!(upstream.requests().len(), 0, "it was closed unread");
+    until("there is a place again", || {
+        let mut client = Client::to(sidecar.address);
+        client.send("fetch", 6_000);
+        client.read().is_some_and(|answer| answer.status() == 200)
+    });
     assert!(since.elapsed() > Duration::from_secs(1), "the places were taken");
+    drop(begun);
+}
+
+#[test]
+fn silent_connections_and_idle_ones_behind_a_handshake_give_up_their_places() {
+    let upstream = Upstream::new(|_| Deed::ok("served"));
+    let ca = Ca::new();
+    let (sidecar, address, _discovery) = with_few_places(&upstream, &ca);
+    let silent: Vec<TcpStream> = (0..2 * PLACES).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let since = Instant::now();
+    assert_eq!(Client::to(sidecar.address).ask("fetch").status(), 200);
+    assert!(since.elapsed() < MOST_LOST, "the plain port, after {:?}", since.elapsed());
+    let rested: Vec<Tls> = (0..2 * PLACES)
+        .map(|_| {
+            let mut tls = client(address, &ca, None, &[&TLS13]);
+            tls.conn.complete_io(&mut tls.sock).unwrap();
+            tls
+        })
+        .collect();
+    for _ in 0..3 {
+        let since = Instant::now();
+        assert_eq!(ask(&mut client(address, &ca, None, &[&TLS13])), Some(200));
+        assert!(since.elapsed() < MOST_LOST, "the port for TLS, after {:?}", since.elapsed());
+    }
+    drop((silent, rested));
 }
 
 #[test]
--- a/crates/node/src/fronts/http/activity.rs
+++ b/crates/node/src/fronts/http/activity.rs
@@ -1,7 +1,7 @@
 //! What a client connection is doing: whether a request on it is being answered, and since when it has been idle.
 
 use std::future::poll_fn;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -13,6 +13,17 @@
     state: Mutex<State>,
     /// Wakes the one task that watches the connection.
     changed: Notify,
+    /// Wakes whoever waits for an idle connection.
+    idle: Arc<Notify>,
+}
+
+/// How a connection rests on which nothing is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Idle {
+    /// Whether it has ever carried a request.
+    pub has_carried: bool,
+    /// Since when it rests.
+    pub since: Instant,
 }
 
 struct State {
@@ -26,13 +37,76 @@
     last: Instant,
     /// When the first byte of a request came whose head is not whole.
     head_began: Option<Instant>,
+    /// Whether it was asked to close for the sake of another connection.
+    asked_to_close: bool,
+}
+
+impl State {
+    /// Whether nothing of a request has come that is not answered.
+    fn is_quiet(&self) -> bool {
+        self.open == 0 && self.head_began.is_none()
+    }
 }
 
 impl Activity {
-    /// A connection that was accepted at this time and has carried nothing.
-    pub fn new(opened: Instant) -> Activity {
-        let state = State { open: 0, is_waiting: false, requests: 0, last: opened, head_began: None };
-        Activity { state: Mutex::new(state), changed: Notify::new() }
+    /// A connection that was accepted at this time and has carried nothing. It tells `idle` whenever it may have become
+    /// idle.
+    pub fn new(opened: Instant, idle: Arc<Notify>) -> Activity {
+        let state = State {
+            open: 0,
+            is_waiting: false,
+            requests: 0,
+            last: opened,
+            head_began: None,
+            asked_to_close: false,
+        };
+        Activity { state: Mutex::new(state), changed: Notify::new(), idle }
+    }
+
+    /// How the connection rests, unless something is under way on it or it was asked to close.
+    pub fn idle(&self) -> Option<Idle> {
+        let state = self.state();
+        let rests = state.is_quiet() && !state.asked_to_close;
+        rests.then(|| Idle { has_carried: state.requests > 0, since: state.last })
+    }
+
+    /// Asks the connection to close if it is still idle.
+    pub fn ask_to_close(&self) {
+        self.state().asked_to_close = true;
+        self.changed.notify_waiters();
+    }
+
+    /// Comes back once the connection is asked to close.
+    pub async fn asked_to_close(&self) {
+        while !self.state().asked_to_close {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Whether nothing is under way. If something is, the connection is no longer asked to close.
+    pub fn confirm_close(&self) -> bool {
+        let mut state = self.state();
+        if state.is_quiet() {
+            return true;
+        }
+        state.asked_to_close = false;
+        drop(state);
+        self.idle.notify_one();
+        false
+    }
+
+    /// It is being found out who the client is, by bytes that it has begun to send.
+    pub fn begin_identification(&self) {
+        self.begin_head(self.state(), Instant::now());
+    }
+
+    /// Who the client is is known. Nothing of a request has come.
+    pub fn end_identification(&self) {
+        let mut state = self.state();
+        state.head_began = None;
+        state.last = Instant::now();
+        drop(state);
+        self.idle.notify_one();
     }
 
     /// The head of a request was read. It is open until the result is dropped.
@@ -166,5 +240,6 @@
         state.last = Instant::now();
         drop(state);
         self.activity.changed.notify_waiters();
+        self.activity.idle.notify_one();
     }
 }
--- a/crates/node/src/fronts/http/connection.rs
+++ b/crates/node/src/fronts/http/connection.rs
@@ -47,8 +47,12 @@
 pub struct Opened {
     /// When.
     pub at: Instant,
+    /// How long it may have waited to be accepted.
+    pub waited: Duration,
     /// Whether connections are scarce.
     pub scarce: watch::Receiver<bool>,
+    /// What it is doing.
+    pub activity: Arc<Activity>,
 }
 
 /// Why a connection ends.
@@ -58,6 +62,8 @@
     ByClient,
     /// We end it.
     ByUs,
+    /// It was idle and gives up its place to another.
+    Replaced,
 }
 
 /// Serves one client connection and closes it. `socket` is what lies under `stream`.
@@ -91,8 +97,9 @@
         who,
         socket: socket.clone(),
         opened: opened.at,
+        waited: opened.waited,
         scarce: opened.scarce.clone(),
-        activity: Activity::new(opened.at),
+        activity: opened.activity.clone(),
         framing: Mutex::default(),
     });
     let activity = &exchange.activity;
@@ -112,6 +119,7 @@
     let mut is_watched = true;
     let mut rest = Rest::default();
     let mut is_shut = false;
+    let mut is_replaced = false;
     loop {
         // A connection that has carried nothing yet is about to: it gets its one answer while clients may still come.
         let is_closing = now == Phase::Closing || (now == Phase::Leaving && activity.has_carried());
@@ -124,7 +132,7 @@
                 if let (Err(error), Some(figures)) = (end, &front.figures) {
                     status_of(&error).into_iter().for_each(|status| figures.answered_unread(status));
                 }
-                return End::ByUs;
+                return if is_replaced { End::Replaced } else { End::ByUs };
             }
             () = client_left(socket, activity) => return End::ByClient,
             () = activity.is_idle(REQUEST_TIME), if may_shut => {
@@ -145,6 +153,20 @@
                     yield_now().await;
                 }
             }
+            // What hyper still has to write is written first. A connection that has carried nothing owes nothing.
+            () = activity.asked_to_close(), if !is_replaced => {
+                if !activity.confirm_close() {
+                    continue;
+                }
+                if !rest.is_certain(activity, socket) {
+                    yield_now().await;
+                } else if activity.has_carried() {
+                    connection.as_mut().graceful_shutdown();
+                    is_replaced = true;
+                } else {
+                    return End::Replaced;
+                }
+            }
             () = idle_while_scarce(&mut opened.scarce, activity) => {
                 if rest.is_certain(activity, socket) {
                     return End::ByUs;
@@ -229,9 +251,11 @@
     shown: Arc<str>,
     socket: ClientSocket,
     opened: Instant,
+    /// How long it may have waited to be accepted.
+    waited: Duration,
     /// Whether connections are scarce.
     scarce: watch::Receiver<bool>,
-    activity: Activity,
+    activity: Arc<Activity>,
     framing: Mutex<Framing>,
 }
 
@@ -249,6 +273,7 @@
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let open = self.activity.begin();
         let by = if open.is_first { self.opened } else { open.began } + REQUEST_TIME;
+        let waited = if open.is_first { self.waited } else { Duration::ZERO };
         let body = body_bytes(request.headers());
         let mut in_flight = self.front.begin(request.uri());
         let context = Context {
@@ -256,6 +281,7 @@
             who: &self.who,
             shown: self.shown.clone(),
             by,
+            waited,
             open: &open,
             socket: &self.socket,
         };
--- a/crates/node/src/fronts/http/listener.rs
+++ b/crates/node/src/fronts/http/listener.rs
@@ -1,19 +1,26 @@
 //! Where clients connect: the listening sockets, and how many connections there may be.
 
 use std::fmt::{Display, Formatter};
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
 
 use anyhow::{Context, Result};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, join};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until};
 use tokio_rustls::TlsAcceptor;
 use tokio_rustls::rustls::ServerConfig;
 use tracing::warn;
 
+use super::activity::Activity;
 use super::connection::{self, Opened};
+use super::places::{Place, Places};
 use super::socket::ClientSocket;
 use super::{Front, IDLE_AT_END, REQUEST_TIME};
 use crate::fronts::Phase;
@@ -21,8 +28,10 @@
 use crate::fronts::tls::{self, Tls};
 use crate::socket::{Listener, Stream, SystemCalls};
 
-/// Connections are scarce while less than one in so many is free.
-const SCARCE: usize = 4;
+/// The longest time for which a new connection may wait for a place.
+const MOST_WAIT: Duration = Duration::from_millis(500);
+/// It waits for one in so many parts of the shortest deadline at the most: an answer takes time as well.
+const WAIT_PART: u32 = 2;
 
 /// Who is at the other end of a connection, as far as the operators' features tell.
 #[derive(Debug, Default)]
@@ -84,35 +93,105 @@
     handshake: Option<Arc<ServerConfig>>,
 }
 
+/// How many connections there may be, and how long a new one may wait to be one of them.
+#[derive(Debug, Clone, Copy)]
+pub struct Capacity {
+    /// So many connections at most.
+    pub connections: usize,
+    /// The shortest time after which a client gives a request up.
+    pub shortest_deadline: Duration,
+}
+
+impl Capacity {
+    /// The longest wait for a place.
+    fn wait(&self) -> Duration {
+        (self.shortest_deadline / WAIT_PART).min(MOST_WAIT)
+    }
+}
+
+/// Connections that wait to be accepted because all places are taken.
+///
+/// The kernel does not tell since when a connection waits. But its queue was empty when an accept last had to wait, so
+/// that no connection has waited for longer than since then.
+#[derive(Default)]
+struct Backlog {
+    /// When a connection first found no place since the queue was last empty.
+    since: Option<Instant>,
+    /// Whether the log tells of it already.
+    is_logged: bool,
+}
+
+impl Backlog {
+    /// The queue was empty.
+    fn is_empty(&mut self) {
+        *self = Backlog::default();
+    }
+
+    /// A connection was closed unread.
+    fn closed_unread(&mut self, connections: usize) {
+        if !std::mem::replace(&mut self.is_logged, true) {
+            warn!("client_connection_closed_unread reason=no_place places={connections}");
+        }
+    }
+}
+
 /// Accepts clients until the end: when the process is closing, no connection is open and none waits to be accepted.
-pub async fn serve(listeners: Listeners, front: Arc<Front>, max_connections: usize) {
-    let permits = Arc::new(Semaphore::new(max_connections));
-    let (scarcity, _) = watch::channel(false);
-    let scarcity = Arc::new(scarcity);
-    let is_scarce = move |permits: &Semaphore| permits.available_permits() * SCARCE < max_connections;
+pub async fn serve(listeners: Listeners, front: Arc<Front>, capacity: Capacity) {
+    let places = Places::new(capacity.connections);
+    let mut backlog = Backlog::default();
     let mut phase = front.phase.clone();
     loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        scarcity.send_replace(is_scarce(&permits));
         let accepted = tokio::select! {
             biased;
-            accepted = listeners.accept() => accepted,
+            accepted = accept(&listeners, &mut backlog) => accepted,
             () = all_done(&mut phase, &front) => return,
         };
         if front.turns_away(accepted.peer) {
             warn!("connection from client={} is denied", accepted.peer.ip().to_canonical());
             continue;
         }
-        let (own, permits, scarcity) = (front.clone(), permits.clone(), scarcity.clone());
-        let opened = Opened { at: Instant::now(), scarce: scarcity.subscribe() };
+        let Some((place, waited)) = place(&places, &mut backlog, capacity).await else {
+            // Unread, so that its client may send again what it has sent.
+            backlog.closed_unread(capacity.connections);
+            continue;
+        };
+        let own = front.clone();
         front.intake.connections.spawn(async move {
+            let opened = Opened {
+                at: Instant::now(),
+                waited,
+                scarce: place.scarcity(),
+                activity: place.activity().clone(),
+            };
             identify(accepted, &own, opened).await;
-            drop(permit);
-            scarcity.send_if_modified(|scarce| std::mem::replace(scarce, is_scarce(&permits)) != *scarce);
+            drop(place);
         });
     }
 }
 
+/// The next connection.
+async fn accept(listeners: &Listeners, backlog: &mut Backlog) -> Accepted {
+    let mut accept = pin!(listeners.accept());
+    if let Poll::Ready(accepted) = poll_fn(|context| Poll::Ready(accept.as_mut().poll(context))).await {
+        return accepted;
+    }
+    backlog.is_empty();
+    accept.await
+}
+
+/// A place for a new connection, and how long it may have waited to be accepted. Where connections are accepted faster
+/// than the requests on them are answered, the tasks of both get their turn.
+async fn place(places: &Places, backlog: &mut Backlog, capacity: Capacity) -> Option<(Place, Duration)> {
+    if let Some(place) = places.try_take() {
+        let waited = backlog.since.map_or(Duration::ZERO, |since| since.elapsed());
+        return Some((place, waited));
+    }
+    let since = *backlog.since.get_or_insert_with(Instant::now);
+    yield_now().await;
+    let place = places.take(since + capacity.wait()).await?;
+    Some((place, since.elapsed()))
+}
+
 /// Comes back once the end is near and no connection is open.
 async fn all_done(phase: &mut watch::Receiver<Phase>, front: &Front) {
     if phase.wait_for(|phase| *phase == Phase::Closing).await.is_err() {
@@ -129,6 +208,15 @@
     let mut stream = socket.clone();
     let mut who = Who::default();
     let mut first = BytesMut::new();
+    let is_asked_who = front.lists.is_some() || handshake.is_some();
+    if is_asked_who {
+        tokio::select! {
+            biased;
+            () = socket.readable() => opened.activity.begin_identification(),
+            () = asked_to_close_while_silent(&socket, &opened.activity) => return,
+            () = out_of_time(opened.at, front.phase.clone()) => return warn!("connection closed: {peer} is silent"),
+        }
+    }
     if let Some(lists) = &front.lists {
         let identified = tokio::select! {
             biased;
@@ -143,6 +231,7 @@
     // What came with a header, or while none was found, is read before what is still to come.
     let stream = join(std::io::Cursor::new(first.freeze()).chain(stream.clone()), stream);
     let Some(handshake) = handshake else {
+        opened.activity.end_identification();
         who.announce(peer);
         return connection::serve(stream, socket, Arc::new(who), opened, front).await;
     };
@@ -153,6 +242,7 @@
     };
     match accepted {
         Ok(stream) => {
+            opened.activity.end_identification();
             who.subject = tls::subject(stream.get_ref().1);
             who.announce(peer);
             connection::serve(stream, socket, Arc::new(who), opened, front).await;
@@ -161,6 +251,15 @@
     }
 }
 
+/// Comes back once a connection that has sent nothing is asked to close.
+async fn asked_to_close_while_silent(socket: &ClientSocket, activity: &Activity) {
+    activity.asked_to_close().await;
+    while socket.has_unread() {
+        // The runtime has not told of it yet.
+        yield_now().await;
+    }
+}
+
 /// Comes back when a peer that has sent nothing whole yet must be let go.
 async fn out_of_time(opened: Instant, mut phase: watch::Receiver<Phase>) {
     let closing = async {
--- a/crates/node/src/fronts/http/mod.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 mod framing;
 mod listener;
+mod places;
 mod request;
 mod socket;
 
@@ -20,7 +21,7 @@
 use crate::engine::Intake;
 use crate::figures::{Figures, InFlight};
 
-pub use listener::{Listeners, listen, serve};
+pub use listener::{Capacity, Listeners, listen, serve};
 
 /// A connection on which nothing comes for this long is closed once the process ends.
 const IDLE_AT_END: Duration = Duration::from_millis(150);
--- a/crates/node/src/fronts/http/request.rs
+++ b/crates/node/src/fronts/http/request.rs
@@ -36,6 +36,8 @@
     pub shown: Arc<str>,
     /// When its body has to be whole.
     pub by: Instant,
+    /// How long it may have lain unread before its connection was accepted.
+    pub waited: Duration,
     /// Its place among the requests of its connection.
     pub open: &'a OpenRequest<'a>,
     /// The socket that it came in by.
@@ -48,7 +50,7 @@
     context: Context<'_>,
     in_flight: &mut Option<InFlight>,
 ) -> Response<Full<Bytes>> {
-    let Context { front, who, shown, by, open, socket } = context;
+    let Context { front, who, shown, by, waited, open, socket } = context;
     if request.uri().path() == "/up" {
         let up = front.intake.is_ready();
         return match (request.method() == Method::GET, up) {
@@ -78,6 +80,8 @@
     if let Some(in_flight) = in_flight {
         in_flight.came_whole(at);
     }
+    // The client counts from when it sent the request.
+    let time_left = time_left.saturating_sub(waited);
     if time_left.is_zero() {
         // Nothing was forwarded, so that trying again is harmless.
         return plain(StatusCode::SERVICE_UNAVAILABLE, "the client's time is up");
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Comes back once the peer has sent something or has closed.
+    pub async fn readable(&self) {
+        self.shared.stream.readable().await;
+    }
+
     /// Reads what is there, up to `room`. An error is the end of the connection.
     fn read_ahead(&self, room: usize) -> io::Result<()> {
         let mut chunk = [0; READ_AHEAD_STEP];
--- a/crates/sagemast/src/settings.rs
+++ b/crates/sagemast/src/settings.rs
@@ -248,6 +248,11 @@
         self.classes.iter().map(|class| class.hard_limit).fold(0.0, f64::max)
     }
 
+    /// The shortest time that any client waits, over all its tries. 0 where there is no class.
+    pub fn shortest_deadline_ms(&self) -> Millis {
+        self.classes.iter().map(|class| class.hard_limit).reduce(f64::min).unwrap_or(0.0)
+    }
+
     /// After this long without use connections are closed.
     pub fn keepalive_ms(&self) -> Millis {
         self.allowed.keepalive
