Read signals from a descriptor, so that an interrupted call ends no process

Cause: the runtime's signal driver panics at any error of its own read but WouldBlock ("Bad read on self-pipe: Interrupted system call"), and its handler writes once, so that an interrupted write loses the signal.

Mend: the signals are blocked first of all and read from a signalfd with the type that our sockets use, which makes an interrupted call again.

Writes to its eventfd panic as well on an error; eventfd(2) has no EINTR for one that does not block, and the test's library leaves them alone.

--- a/crates/harelock/src/lib.rs
+++ b/crates/harelock/src/lib.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod fleet;
 mod operator_commands;
+mod signals;
 
 use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
@@ -16,7 +17,7 @@
 
 use anyhow::{Context, Result, bail};
 use clap::Parser;
-use tokio::signal::unix::{SignalKind, signal};
+use nix::sys::signal::Signal;
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_blocking;
 use tokio::time::{Instant, sleep, timeout};
@@ -43,6 +44,7 @@
 
 use cli::{Cli, Command, Replay};
 use fleet::{AtStart, Parts};
+use signals::{BlockedSignals, Signals};
 
 /// Clients connect for up to 0.4 s after SIGTERM; what waits in the accept queue counts as taken.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -108,13 +110,14 @@
 }
 
 fn serve(file: Option<&Path>, system_calls: Arc<dyn SystemCalls>) -> Result<()> {
+    let signals = BlockedSignals::new().context("cannot wait for signals")?;
     let operator = Operator::read(file)?;
     let config = Config::from_env()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context("cannot start the runtime")?;
-    let end = runtime.block_on(sidecar(config, file.map(Path::to_owned), operator, system_calls));
+    let end = runtime.block_on(sidecar(config, file.map(Path::to_owned), operator, signals, system_calls));
     // A look-up of a name that hangs must not hold up the end.
     runtime.shutdown_background();
     end
@@ -124,12 +127,10 @@
     config: Config,
     file: Option<PathBuf>,
     mut operator: Operator,
+    signals: BlockedSignals,
     system_calls: Arc<dyn SystemCalls>,
 ) -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("cannot wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("cannot wait for SIGINT")?;
-    let mut hang_up = signal(SignalKind::hangup()).context("cannot wait for SIGHUP")?;
-    let mut dump = signal(SignalKind::user_defined1()).context("cannot wait for SIGUSR1")?;
+    let signals = Signals::new(signals).context("cannot wait for signals")?;
     let listener = http::listen(&system_calls, config.listen)?;
     log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
@@ -189,10 +190,11 @@
 
     loop {
         tokio::select! {
-            _ = terminate.recv() => break info!("SIGTERM: finishing what is held"),
-            _ = interrupt.recv() => break info!("SIGINT: finishing what is held"),
-            _ = hang_up.recv() => asked.notify_one(),
-            _ = dump.recv() => orders.dump(),
+            signal = signals.next() => match signal {
+                Signal::SIGHUP => asked.notify_one(),
+                Signal::SIGUSR1 => orders.dump(),
+                signal => break info!("{signal}: finishing what is held"),
+            },
             // It never ends by itself. Without it nothing is answered: better to be started anew.
             _ = &mut engine => {
                 figures.iter().for_each(|figures| figures.finish());
--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -302,6 +302,11 @@
     spawn_with(config, None, None, &[]).0
 }
 
+/// The same with further variables in its environment.
+pub fn spawn_in(config: &str, variables: &[(&str, &str)]) -> Child {
+    spawn_with(config, None, None, variables).0
+}
+
 /// The same with the operators' file.
 pub fn spawn_operated(config: &str, operator: &str) -> Child {
     spawn_with(config, Some(&file(operator)), None, &[]).0
--- a/crates/node/src/socket/mod.rs
+++ b/crates/node/src/socket/mod.rs
@@ -21,5 +21,6 @@
 pub use connecting::connect;
 pub use error::ConnectError;
 pub use listener::Listener;
+pub use registered::Registered;
 pub use stream::{Readiness, Stream};
 pub use system_calls::{Kernel, SystemCalls};
