Count the time of a pipelined request from when its last byte came

What callers saw: of three requests sent at once, each with 0.5 s, before servers that hang, the answers came after 0.49, 0.99 and 1.48 s; a request sent while another was answered for 0.2 s was passed on with 479 of its 500 ms.

Cause: a request was taken to come when it was read, and it is read once the one before it is answered.

Mend: the framing of a connection follows the bytes from request to request and keeps when the last byte of each had come, pieces that were read ahead included; the time until a request is looked at is taken off what it has left. Why this holds: the moment is that of the read from the kernel, and only bodies with no length in their head are not followed.

--- a/crates/node/src/fronts/http/connection.rs
+++ b/crates/node/src/fronts/http/connection.rs
@@ -5,7 +5,7 @@
 //! it is open, so that everything that was read is answered.
 
 use std::convert::Infallible;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,7 +23,7 @@
 use tokio_util::io::InspectReader;
 
 use super::activity::{Activity, OpenRequest};
-use super::framing::Framing;
+use super::framing::{Behind, Framing};
 use super::listener::Who;
 use super::request::{Context, body_bytes, handle};
 use super::socket::ClientSocket;
@@ -263,7 +263,7 @@
     /// Takes in what was received.
     fn received(&self, bytes: &[u8]) {
         self.activity.received();
-        self.framing.lock().unwrap_or_else(PoisonError::into_inner).received(bytes);
+        self.framing().received(bytes, self.socket.came_at());
     }
 
     /// Answers one request.
@@ -282,6 +282,7 @@
             shown: self.shown.clone(),
             by,
             waited,
+            framing: &self.framing,
             open: &open,
             socket: &self.socket,
         };
@@ -308,15 +309,16 @@
 
     /// Whether more was received than the request that ends here, with a body of so many bytes.
     fn pipelined(&self, body: Option<u64>) -> bool {
-        let mut framing = self.framing.lock().unwrap_or_else(PoisonError::into_inner);
-        let was_pipelined = framing.is_pipelined();
-        let pipelined = framing.end_of_request(body);
-        drop(framing);
-        // From the second time on, or where the length of a body is not known, the bytes counted may all be answered.
-        if pipelined && !was_pipelined && body.is_some() {
+        let behind = self.framing().end_of_request(body);
+        if behind == Behind::Begun {
             self.activity.has_begun_behind();
         }
-        pipelined
+        behind != Behind::Nothing
+    }
+
+    /// Held for moments only, never over a wait.
+    fn framing(&self) -> MutexGuard<'_, Framing> {
+        self.framing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/node/src/fronts/http/framing.rs
+++ b/crates/node/src/fronts/http/framing.rs
@@ -1,62 +1,171 @@
-//! Whether a client has sent more than the request that is being answered.
+//! Where the requests of a connection begin and end, and when each had come.
 //!
 //! An answer that says `Connection: close` tells the client that nothing behind its request will be answered. Where the
 //! client has pipelined, what it sent behind that request may already be in the HTTP server's buffer, so the connection
-//! must stay open until all of it is answered. The server does not tell what it has buffered; counting bytes does.
+//! must stay open until all of it is answered. And the time of a request that waits behind others counts from when its
+//! own last byte came. The server tells neither; following the bytes does.
+
+use std::collections::VecDeque;
+
+use tokio::time::Instant;
+
+/// The names of the headers that tell how long a body is, in small letters.
+const CONTENT_LENGTH: &[u8] = b"content-length";
+const TRANSFER_ENCODING: &[u8] = b"transfer-encoding";
+/// So much of a line is kept: more than such a header takes.
+const LINE_BYTES: usize = 64;
 
 /// Follows the bytes of a connection from one request to the next.
 #[derive(Debug, Default)]
 pub struct Framing {
-    /// Bytes received since the last request ended.
-    received: u64,
-    /// Of these, the bytes of the head, once it is complete.
-    head: Option<u64>,
-    /// Bytes of the line that is being received, without its line end.
-    line: u64,
+    part: Part,
+    /// When each request had come that is whole and not answered, the one that is being answered first.
+    whole: VecDeque<Instant>,
+    /// Whether the first byte of another one has come.
+    has_begun: bool,
+    /// Whether a body has come whose length is not told in its head: where the next request begins is not known then.
+    is_lost: bool,
+}
+
+/// What the next byte belongs to.
+#[derive(Debug)]
+enum Part {
+    Head(Head),
+    /// A body of which so many bytes are still to come.
+    Body(u64),
+}
+
+impl Default for Part {
+    fn default() -> Part {
+        Part::Head(Head::default())
+    }
+}
+
+/// The head of a request as far as it has come.
+#[derive(Debug, Default)]
+struct Head {
+    /// The beginning of the line that is being received, without its line end.
+    line: Vec<u8>,
     /// Whether a line that is not empty was received: empty lines before a request are allowed.
-    begun: bool,
-    /// Whether the client has ever sent more than one request at a time. Where the next one began is not known then.
-    pipelined: bool,
+    has_lines: bool,
+    body: BodyLength,
+}
+
+/// What a head tells of the length of its body.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum BodyLength {
+    #[default]
+    None,
+    Known(u64),
+    Unknown,
 }
 
 impl Framing {
-    /// Takes in what was received.
-    pub fn received(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.received += 1;
-            if self.head.is_none() {
-                self.scan(*byte);
-            }
+    /// Takes in what was received at this time.
+    pub fn received(&mut self, mut bytes: &[u8], at: Instant) {
+        while !bytes.is_empty() && !self.is_lost {
+            self.has_begun = true;
+            bytes = self.take_part(bytes, at);
         }
     }
 
-    /// Looks for the empty line that ends a head.
-    fn scan(&mut self, byte: u8) {
-        match byte {
-            b'\n' if self.line == 0 && self.begun => self.head = Some(self.received),
-            b'\n' => self.line = 0,
-            b'\r' => {}
-            _ => {
-                self.line += 1;
-                self.begun = true;
+    /// Takes in bytes up to the end of a part. What is left belongs to the next one.
+    fn take_part<'a>(&mut self, bytes: &'a [u8], at: Instant) -> &'a [u8] {
+        match &mut self.part {
+            Part::Body(left) => {
+                let taken = usize::try_from(*left).unwrap_or(usize::MAX).min(bytes.len());
+                *left -= taken as u64;
+                if *left == 0 {
+                    self.is_whole(at);
+                }
+                &bytes[taken..]
+            }
+            Part::Head(head) => {
+                let ended = bytes.iter().position(|byte| head.ends_with(*byte));
+                let Some(last) = ended else { return &[] };
+                match head.body {
+                    BodyLength::None | BodyLength::Known(0) => self.is_whole(at),
+                    BodyLength::Known(length) => self.part = Part::Body(length),
+                    BodyLength::Unknown => self.is_lost = true,
+                }
+                &bytes[last + 1..]
             }
         }
     }
 
-    /// Whether the client has ever sent more than one request at a time.
-    pub fn is_pipelined(&self) -> bool {
-        self.pipelined
+    /// The last byte of a request came.
+    fn is_whole(&mut self, at: Instant) {
+        self.part = Part::default();
+        self.has_begun = false;
+        self.whole.push_back(at);
     }
 
-    /// The request ends with a body of so many bytes, or of unknown length. Tells whether more may have been received
-    /// behind it.
-    pub fn end_of_request(&mut self, body: Option<u64>) -> bool {
-        let ends_at = self.head.zip(body).map(|(head, body)| head + body);
-        self.pipelined |= ends_at.is_none_or(|end| self.received > end);
-        if !self.pipelined {
+    /// When the last byte of the request came that is being answered. `None` where that is not known, or it has not come.
+    pub fn came_whole_at(&self) -> Option<Instant> {
+        self.whole.front().copied().filter(|_| !self.is_lost)
+    }
+
+    /// The request that was being answered ends. `body`: the length of its body, as the server has read it.
+    pub fn end_of_request(&mut self, body: Option<u64>) -> Behind {
+        if self.is_lost || body.is_none() {
+            self.is_lost = true;
+            return Behind::Unknown;
+        }
+        if self.whole.pop_front().is_none() {
+            // It was answered before it had come whole, and the server ends the connection.
             *self = Framing::default();
+            return Behind::Nothing;
+        }
+        match (self.whole.is_empty(), self.has_begun) {
+            (false, _) => Behind::Whole,
+            (true, true) => Behind::Begun,
+            (true, false) => Behind::Nothing,
+        }
+    }
+}
+
+/// What was received behind a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Behind {
+    Nothing,
+    /// Part of another request.
+    Begun,
+    /// At least one whole request.
+    Whole,
+    /// Perhaps something.
+    Unknown,
+}
+
+impl Head {
+    /// Takes in a byte. Whether it is the last one of the head.
+    fn ends_with(&mut self, byte: u8) -> bool {
+        match byte {
+            b'\n' if self.line.is_empty() => self.has_lines,
+            b'\n' => {
+                self.end_of_line();
+                false
+            }
+            b'\r' => false,
+            _ => {
+                if self.line.len() < LINE_BYTES {
+                    self.line.push(byte);
+                }
+                false
+            }
+        }
+    }
+
+    fn end_of_line(&mut self) {
+        self.has_lines = true;
+        let line = std::mem::take(&mut self.line);
+        let Some(colon) = line.iter().position(|byte| *byte == b':') else { return };
+        let (name, value) = (line[..colon].to_ascii_lowercase(), &line[colon + 1..]);
+        if name == TRANSFER_ENCODING {
+            self.body = BodyLength::Unknown;
+        } else if name == CONTENT_LENGTH && self.body != BodyLength::Unknown {
+            let length = std::str::from_utf8(value).ok().and_then(|text| text.trim().parse().ok());
+            self.body = length.map_or(BodyLength::Unknown, BodyLength::Known);
         }
-        self.pipelined
     }
 }
 
--- a/crates/node/src/fronts/http/request.rs
+++ b/crates/node/src/fronts/http/request.rs
@@ -1,6 +1,6 @@
 //! One request of a client: its head is checked, its body read, and the engine's final answer turned into a response.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +13,7 @@
 
 use super::Front;
 use super::activity::OpenRequest;
+use super::framing::Framing;
 use super::listener::Who;
 use super::socket::ClientSocket;
 use crate::engine::{Asked, BODY_BYTES, Final, Forward, Names, end_to_end};
@@ -38,6 +39,8 @@
     pub by: Instant,
     /// How long it may have lain unread before its connection was accepted.
     pub waited: Duration,
+    /// Where the requests of its connection begin and end.
+    pub framing: &'a Mutex<Framing>,
     /// Its place among the requests of its connection.
     pub open: &'a OpenRequest<'a>,
     /// The socket that it came in by.
@@ -50,7 +53,7 @@
     context: Context<'_>,
     in_flight: &mut Option<InFlight>,
 ) -> Response<Full<Bytes>> {
-    let Context { front, who, shown, by, waited, open, socket } = context;
+    let Context { front, who, shown, by, waited, framing, open, socket } = context;
     if request.uri().path() == "/up" {
         let up = front.intake.is_ready();
         return match (request.method() == Method::GET, up) {
@@ -80,8 +83,9 @@
     if let Some(in_flight) = in_flight {
         in_flight.came_whole(at);
     }
-    // The client counts from when it sent the request.
-    let time_left = time_left.saturating_sub(waited);
+    // The client counts from when it sent the request, which may have lain behind others since.
+    let came = framing.lock().unwrap_or_else(PoisonError::into_inner).came_whole_at().unwrap_or(at);
+    let time_left = time_left.saturating_sub(waited + at.saturating_duration_since(came));
     if time_left.is_zero() {
         // Nothing was forwarded, so that trying again is harmless.
         return plain(StatusCode::SERVICE_UNAVAILABLE, "the client's time is up");
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -5,15 +5,16 @@
 //! has closed only if nothing was received behind that request. [`ClientSocket::closed_by_peer`] closes this gap: it
 //! reads ahead into a bounded buffer, which the server is given first once it reads again.
 
+use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::engine::Presence;
 use crate::socket::{Readiness, Stream};
@@ -32,8 +33,39 @@
 
 struct Shared {
     stream: Stream,
-    /// What was read ahead and not asked for yet.
-    ahead: Mutex<BytesMut>,
+    ahead: Mutex<Ahead>,
+}
+
+/// What was read ahead and not asked for yet.
+#[derive(Default)]
+struct Ahead {
+    /// Each piece, and when it came.
+    pieces: VecDeque<(Bytes, Instant)>,
+    /// When what the server was given last had come.
+    given: Option<Instant>,
+}
+
+impl Ahead {
+    fn len(&self) -> usize {
+        self.pieces.iter().map(|(piece, _)| piece.len()).sum()
+    }
+
+    fn push(&mut self, bytes: &[u8]) {
+        self.pieces.push_back((Bytes::copy_from_slice(bytes), Instant::now()));
+    }
+
+    /// Gives as much of the first piece as there is room for. Whether there was one.
+    fn give(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
+        let Some((piece, came)) = self.pieces.front_mut() else { return false };
+        let taken = piece.len().min(buffer.remaining());
+        buffer.put_slice(&piece[..taken]);
+        piece.advance(taken);
+        self.given = Some(*came);
+        if piece.is_empty() {
+            self.pieces.pop_front();
+        }
+        true
+    }
 }
 
 impl ClientSocket {
@@ -75,7 +107,7 @@
         match self.shared.stream.try_receive(&mut chunk[..step]) {
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(read) => {
-                self.ahead().extend_from_slice(&chunk[..read]);
+                self.ahead().push(&chunk[..read]);
                 Ok(())
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
@@ -91,7 +123,7 @@
         match self.shared.stream.receive_now(&mut chunk[..step]) {
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(read) => {
-                self.ahead().extend_from_slice(&chunk[..read]);
+                self.ahead().push(&chunk[..read]);
                 Ok(true)
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
@@ -102,7 +134,12 @@
     /// Whether bytes wait that the server has not been given. Asks the kernel itself, whose events may not have been
     /// taken in yet.
     pub fn has_unread(&self) -> bool {
-        !self.ahead().is_empty() || self.shared.stream.has_unread()
+        !self.ahead().pieces.is_empty() || self.shared.stream.has_unread()
+    }
+
+    /// When what the server was given last had come.
+    pub fn came_at(&self) -> Instant {
+        self.ahead().given.unwrap_or_else(Instant::now)
     }
 
     /// Ends the sending side and waits for the peer to close its own, but no longer than `limit`.
@@ -117,7 +154,7 @@
     }
 
     /// Held for moments only, never over a wait.
-    fn ahead(&self) -> MutexGuard<'_, BytesMut> {
+    fn ahead(&self) -> MutexGuard<'_, Ahead> {
         self.shared.ahead.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -144,16 +181,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        {
-            let mut ahead = self.ahead();
-            if !ahead.is_empty() {
-                let taken = ahead.len().min(buffer.remaining());
-                buffer.put_slice(&ahead[..taken]);
-                ahead.advance(taken);
-                return Poll::Ready(Ok(()));
-            }
+        if self.ahead().give(buffer) {
+            return Poll::Ready(Ok(()));
+        }
+        let read = self.shared.stream.poll_receive_into(context, buffer);
+        if read.is_ready() {
+            self.ahead().given = Some(Instant::now());
         }
-        self.shared.stream.poll_receive_into(context, buffer)
+        read
     }
 }
 
