--- a/crates/harelock/tests/fleet_faults.rs
+++ b/crates/harelock/tests/fleet_faults.rs
@@ -255,6 +255,11 @@
         low > 0.05 && high - low < 0.1
     });
     // From here on no member refuses a larger share of a class than another.
+    let by_reason = |reason: &str| -> Vec<f64> {
+        let tag = format!("class:bill,reason:{reason}");
+        (0..4).map(|place| fleet.members[place].sum("refused", &tag)).collect()
+    };
+    let reasons_before = ["shed", "overload"].map(by_reason);
     let counted = |place: usize| {
         let all = fleet.members[place].sum("requests", "class:bill,");
         [all, fleet.members[place].sum("refused", "class:bill,reason:")]
@@ -267,6 +272,10 @@
     fleet.wait("there is enough to compare", || (0..4).all(|place| since(place)[0] >= 300.0));
     let shares: Vec<f64> = (0..4).map(since).map(|[all, refused]| refused / all).collect();
     println!("refused of the cheaper class by member: {shares:.3?}");
+    for (reason, before) in ["shed", "overload"].into_iter().zip(&reasons_before) {
+        let refused: Vec<f64> = by_reason(reason).iter().zip(before).map(|(now, then)| now - then).collect();
+        println!("of these for {reason}: {refused:?}");
+    }
     let (low, high) = shares.iter().fold((1f64, 0f64), |(low, high), at| (low.min(*at), high.max(*at)));
     // What a member's own view of its servers refuses comes on top of the level, which is the same at all.
     assert!(low > 0.0 && high - low < 0.3, "{shares:?}");
