Place a request anew when its server cannot be connected to from here

What callers saw: while this machine could open no connection (EADDRNOTAVAIL), 20 of 40 requests were refused after 75 ms with 5.9 s left, though four of six servers had idle connections.

Cause: an attempt that could not connect was tried again at its own server alone and ended as NotSent, which ends the request.

Mend: it ends as LocalFailure, which never ran and says nothing of the server, and the module places the request anew; after three further tries where another server has an idle connection. Why this holds: what was tried is not drawn again, nothing left this machine so that no budget of retries is used, and the number of attempts stays bounded.

--- a/crates/concert/src/evidence.rs
+++ b/crates/concert/src/evidence.rs
@@ -79,7 +79,11 @@
                 }
             }
             Outcome::Ok | Outcome::Error | Outcome::Full => self.answered(id, learnt),
-            Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::TimedOut
+            | Outcome::Reset
+            | Outcome::Cancelled
+            | Outcome::NotSent
+            | Outcome::LocalFailure => {}
         }
         let failed =
             matches!(end.outcome, Outcome::Error | Outcome::Unreachable | Outcome::Reset | Outcome::TimedOut);
--- a/crates/fault-injection/tests/connections.rs
+++ b/crates/fault-injection/tests/connections.rs
@@ -7,7 +7,7 @@
 
 use std::time::{Duration, Instant};
 
-use load::{Arrivals, Load, alone, injected_at_end, served_after, sidecar};
+use load::{Arrivals, Caller, Load, alone, injected_at_end, served_after, sidecar};
 use loopback::Deed;
 
 /// The time from the start to the first 200 of `GET /up`.
@@ -62,3 +62,39 @@
         "errors":["EADDRNOTAVAIL","ENETUNREACH","ENOBUFS","EAGAIN"]}}"#;
     check(plan, "connects", closes_often);
 }
+
+/// This machine can open no connection any more, while there are idle ones to some servers: requests go to these.
+///
+/// An attempt that could not connect was tried again at its server for 64 ms, and its request was then refused, whatever
+/// the other servers had: "refused after 70 ms, 5926 ms left; d not_sent". The attempt now ends once it is clear that
+/// another server can be reached, as one that never ran and says nothing of its server, and the request is placed anew.
+#[test]
+fn requests_go_over_idle_connections_while_none_can_be_opened() {
+    const SERVERS: usize = 6;
+    const CONNECTED: usize = 4;
+    const REQUESTS: usize = 40;
+    let plan = r#"{"seed":3,"from_ms":2000,"connect":{"fail":1.0,"errors":["EADDRNOTAVAIL"]}}"#;
+    let arrivals = Arrivals::default();
+    let servers = [(); SERVERS].map(|()| arrivals.server(|_| served_after(Duration::from_millis(5))));
+    let settings = alone().replace("\"probes\":true", "\"probes\":false");
+    let begun = Instant::now();
+    let (mut sidecar, _discovery) = sidecar(&servers.each_ref(), &settings, plan);
+    let mut caller = Caller::new(sidecar.address);
+    let connected = || servers.iter().filter(|server| server.connections() > 0).count();
+    while connected() < CONNECTED {
+        assert!(begun.elapsed() < Duration::from_millis(1_500), "only {} are connected", connected());
+        caller.call("fetch", Duration::from_secs(6));
+    }
+    std::thread::sleep(Duration::from_millis(2_100).saturating_sub(begun.elapsed()));
+    let seen: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            std::thread::sleep(Duration::from_millis(25));
+            caller.call(["fetch", "bill"][number % 2], Duration::from_secs(6))
+        })
+        .collect();
+    let injected = injected_at_end(&mut sidecar, "connects");
+    eprintln!("{} connected, {injected} connects failed", connected());
+    assert!(injected > 0, "no connect failed");
+    let unserved: Vec<_> = seen.iter().filter(|seen| seen.end != load::End::Answer(200)).collect();
+    assert!(unserved.is_empty(), "{} of {REQUESTS}: {unserved:?}", unserved.len());
+}
--- a/crates/node/src/engine/counters.rs
+++ b/crates/node/src/engine/counters.rs
@@ -8,7 +8,7 @@
 use super::transport::Counts;
 
 /// The outcomes of attempts in the order in which they are counted.
-const OUTCOMES: [(Outcome, &str); 8] = [
+const OUTCOMES: [(Outcome, &str); 9] = [
     (Outcome::Ok, "ok"),
     (Outcome::Error, "error"),
     (Outcome::Full, "full"),
@@ -17,6 +17,7 @@
     (Outcome::Reset, "reset"),
     (Outcome::Cancelled, "cancelled"),
     (Outcome::NotSent, "not_sent"),
+    (Outcome::LocalFailure, "local_failure"),
 ];
 
 /// The name of an outcome in the log.
--- a/crates/node/src/transports/http1/attempt.rs
+++ b/crates/node/src/transports/http1/attempt.rs
@@ -137,8 +137,8 @@
         tries: &mut FurtherTries,
         failure: NoConnection,
     ) -> Result<(Source, Peer), Box<End>> {
-        let Some(pause) = tries.next_pause() else {
-            return Err(Box::new(End::Broken(Outcome::NotSent, failure.to_string())));
+        let Some(pause) = tries.next_pause(self.is_another_reachable(attempt.flight.upstream)) else {
+            return Err(Box::new(End::Broken(Outcome::LocalFailure, failure.to_string())));
         };
         tokio::select! {
             biased;
--- a/crates/node/src/transports/http1/local_failure.rs
+++ b/crates/node/src/transports/http1/local_failure.rs
@@ -9,6 +9,8 @@
 /// Pauses before further tries. The first are nearly none: what one call lacked, the next one often has. Later ones
 /// leave time for other requests to end and to free what they hold. All of them take 64 ms.
 const PAUSES_MS: [u64; 7] = [1, 1, 2, 4, 8, 16, 32];
+/// So many further tries are made where another upstream can be reached without a new connection.
+const TRIES_BEFORE_ANOTHER: usize = 3;
 
 /// The further tries that one attempt or probe has left.
 pub struct FurtherTries {
@@ -24,8 +26,13 @@
         FurtherTries { end: now + until.saturating_duration_since(now) / 2, pauses: PAUSES_MS.iter() }
     }
 
-    /// The pause before the next try. `None` if there is none left.
-    pub fn next_pause(&mut self) -> Option<Duration> {
+    /// The pause before the next try. `None` if there is none left, or if there were some and another upstream can be
+    /// reached without a new connection.
+    pub fn next_pause(&mut self, is_another_reachable: bool) -> Option<Duration> {
+        let tries = PAUSES_MS.len() - self.pauses.len();
+        if is_another_reachable && tries >= TRIES_BEFORE_ANOTHER {
+            return None;
+        }
         let pause = Duration::from_millis(*self.pauses.next()?);
         (Instant::now() + pause < self.end).then_some(pause)
     }
--- a/crates/node/src/transports/http1/probe.rs
+++ b/crates/node/src/transports/http1/probe.rs
@@ -34,7 +34,7 @@
                 ProbeEnd::Answered => return,
                 ProbeEnd::Failed => break,
                 ProbeEnd::Stale => self.state().counts.stale += 1,
-                ProbeEnd::LocalFailure => match tries.next_pause() {
+                ProbeEnd::LocalFailure => match tries.next_pause(false) {
                     Some(pause) => sleep(pause).await,
                     None => break,
                 },
--- a/crates/node/src/transports/http1/transport.rs
+++ b/crates/node/src/transports/http1/transport.rs
@@ -166,6 +166,13 @@
         source.map(|source| (source, peer))
     }
 
+    /// Whether there is an idle connection to an upstream other than this one.
+    pub(super) fn is_another_reachable(&self, id: UpstreamId) -> bool {
+        let state = self.state();
+        let mut others = state.upstreams.iter().filter(|(other, _)| **other != id);
+        others.any(|(_, upstream)| upstream.peer.serving && upstream.pool.count() > 0)
+    }
+
     /// Drops the idle connections to an upstream that have rested for so long.
     fn drop_rested(&self, id: UpstreamId, rest: Duration) {
         if let Some(upstream) = self.state().upstreams.get_mut(&id) {
--- a/crates/sagemast/src/api.rs
+++ b/crates/sagemast/src/api.rs
@@ -252,6 +252,8 @@
     Cancelled,
     /// Never left this sidecar.
     NotSent,
+    /// No connection could be opened, for a reason of this machine's: it never ran, and says nothing of the server.
+    LocalFailure,
 }
 
 impl Outcome {
@@ -263,13 +265,13 @@
             Outcome::Error => Some(Failure::Error),
             Outcome::TimedOut => Some(Failure::Timeout),
             Outcome::Reset => Some(Failure::Reset),
-            Outcome::Ok | Outcome::Cancelled | Outcome::NotSent => None,
+            Outcome::Ok | Outcome::Cancelled | Outcome::NotSent | Outcome::LocalFailure => None,
         }
     }
 
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NotSent)
+        !matches!(self, Outcome::Full | Outcome::Unreachable | Outcome::NotSent | Outcome::LocalFailure)
     }
 }
 
--- a/crates/sagemast/src/brain.rs
+++ b/crates/sagemast/src/brain.rs
@@ -501,7 +501,9 @@
             sends < self.settings.limits.max_attempts && policy.follows(outcome.failure(), sends, ran as u32);
         let pause = policy.backoff.map_or(0.0, |backoff| backoff.pause_ms(sends, self.rng.rand_float()));
         let worth_it = self.aim_left(held) > pause && outcome != Outcome::NotSent;
-        match attempts_left && worth_it && self.spend(held.class, Further::Retry) {
+        // What never left this machine costs no server anything.
+        let is_free = outcome == Outcome::LocalFailure;
+        match attempts_left && worth_it && (is_free || self.spend(held.class, Further::Retry)) {
             true if pause > 0.0 => out.push(Action::WakeAt { at: self.now + pause, token: request.0 << 1 }),
             true => self.place(request, out),
             false => self.give_up(request, Reason::Overload, out),
