Wait for the listening socket where one is short at the start

What operators saw: where no socket could be opened at the moment of the start (ENFILE, EMFILE, ENOBUFS, ENOMEM for the first 0.7 s), the process ended, and with it the application's way out until it was started anew.

Cause: the listening socket was opened once.

Mend: it is tried every 20 ms for 5 s where something was short; every other error ends the start as before.

fault-injection's connections.rs: a_socket_that_cannot_be_opened_at_the_start_is_waited_for fails before and passes now.

--- a/crates/fault-injection/tests/connections.rs
+++ b/crates/fault-injection/tests/connections.rs
@@ -63,6 +63,23 @@
     check(plan, "connects", closes_often);
 }
 
+/// No socket can be opened when the process starts. It ended with "cannot listen on 127.0.0.1:0: Too many open files in
+/// system"; now the socket is waited for.
+#[test]
+fn a_socket_that_cannot_be_opened_at_the_start_is_waited_for() {
+    for error in ["ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"] {
+        let plan = format!(r#"{{"seed":4,"until_ms":700,"open":{{"fail":1.0,"errors":["{error}"]}}}}"#);
+        let arrivals = Arrivals::default();
+        let server = arrivals.server(|_| served_after(Duration::from_millis(5)));
+        let begun = Instant::now();
+        let (mut sidecar, _discovery) = sidecar(&[&server], &alone(), &plan);
+        assert!(begun.elapsed() < LONGEST_START, "{error}: ready after {:?}", begun.elapsed());
+        let seen = Caller::new(sidecar.address).call("fetch", Duration::from_secs(6));
+        assert_eq!(seen.end, load::End::Answer(200), "{error}");
+        assert!(injected_at_end(&mut sidecar, "opens") > 0, "{error}: no socket failed");
+    }
+}
+
 /// This machine can open no connection any more, while there are idle ones to some servers: requests go to these.
 ///
 /// An attempt that could not connect was tried again at its server for 64 ms, and its request was then refused, whatever
--- a/crates/harelock/src/lib.rs
+++ b/crates/harelock/src/lib.rs
@@ -131,12 +131,12 @@
     system_calls: Arc<dyn SystemCalls>,
 ) -> Result<()> {
     let signals = Signals::new(signals).context("cannot wait for signals")?;
-    let listener = http::listen(&system_calls, config.listen)?;
+    let listener = http::listen(&system_calls, config.listen).await?;
     log::start()?;
     let address = listener.local_addr().context("the listener has no address")?;
     let tls = match &operator.tls {
         Some(settings) if settings.port.is_some() => {
-            Some(operator.blame(tls_door(&system_calls, settings, address))?)
+            Some(operator.blame(tls_door(&system_calls, settings, address).await)?)
         }
         _ => None,
     };
@@ -228,14 +228,14 @@
 }
 
 /// Opens the port for TLS beside the plain one.
-fn tls_door(
+async fn tls_door(
     system_calls: &Arc<dyn SystemCalls>,
     settings: &operator::Tls,
     plain: SocketAddr,
 ) -> Result<(Listener, Arc<Tls>)> {
     let tls = Arc::new(Tls::start(Source::new(settings)?)?);
     let at = SocketAddr::new(plain.ip(), settings.port.unwrap_or_default());
-    let listener = http::listen(system_calls, at).context("tls.port")?;
+    let listener = http::listen(system_calls, at).await.context("tls.port")?;
     let address = listener.local_addr().context("the listener has no address")?;
     info!("tls: handshakes on {address}");
     tokio::spawn(tls.clone().keep_fresh(Duration::from_secs(settings.reload_s as u64)));
--- a/crates/node/src/fronts/http/listener.rs
+++ b/crates/node/src/fronts/http/listener.rs
@@ -28,6 +28,10 @@
 use crate::fronts::tls::{self, Tls};
 use crate::socket::{Listener, Stream, SystemCalls};
 
+/// A socket to listen on is waited for so long: restarted processes are to be ready within 10 s.
+const SOCKET_WAIT: Duration = Duration::from_secs(5);
+/// How often it is tried.
+const SOCKET_RETRY: Duration = Duration::from_millis(20);
 /// The longest time for which a new connection may wait for a place.
 const MOST_WAIT: Duration = Duration::from_millis(500);
 /// It waits for one in so many parts of the shortest deadline at the most: an answer takes time as well.
@@ -58,9 +62,21 @@
     }
 }
 
-/// Listens.
-pub fn listen(system_calls: &Arc<dyn SystemCalls>, address: SocketAddr) -> Result<Listener> {
-    Listener::bind(system_calls.clone(), address).with_context(|| format!("cannot listen on {address}"))
+/// Listens. What is short for a moment is waited for: to end for it would cost the application its sidecar.
+pub async fn listen(system_calls: &Arc<dyn SystemCalls>, address: SocketAddr) -> Result<Listener> {
+    let until = Instant::now() + SOCKET_WAIT;
+    loop {
+        match Listener::bind(system_calls.clone(), address) {
+            Err(error) if is_short(&error) && Instant::now() < until => sleep(SOCKET_RETRY).await,
+            result => return result.with_context(|| format!("cannot listen on {address}")),
+        }
+    }
+}
+
+/// Whether something was short here, which others may give back.
+fn is_short(error: &std::io::Error) -> bool {
+    let code = error.raw_os_error();
+    code.is_some_and(|code| [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM].contains(&code))
 }
 
 /// The sockets that clients connect to.
