Make a read or write again for which memory was short

Cause: any error but WouldBlock and EINTR was taken for the end of the connection, on both sides, and a client whose presence was asked for that moment was taken to have left.

Why this holds: the connection is as it was, the kernel says so by these two errors alone, and no event tells of memory.

--- a/crates/fault-injection/tests/transfers.rs
+++ b/crates/fault-injection/tests/transfers.rs
@@ -78,3 +78,11 @@
 fn one_read_and_write_in_twenty_is_interrupted() {
     check(r#"{"seed":3,"receive":{"interrupted":0.05},"send":{"interrupted":0.05}}"#, "interrupted");
 }
+
+/// Memory is short for one read and write in twenty. It ended their connections: a client got no answer, and a request that
+/// may have run failed.
+#[test]
+fn one_read_and_write_in_twenty_lacks_memory() {
+    let faults = r#"{"fail":0.05,"errors":["ENOMEM","ENOBUFS"]}"#;
+    check(&format!(r#"{{"seed":4,"receive":{faults},"send":{faults}}}"#), "transfers");
+}
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -14,10 +14,10 @@
 
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::engine::Presence;
-use crate::socket::{Readiness, Stream};
+use crate::socket::{MEMORY_RETRY, Readiness, Stream, lacks_memory};
 
 /// So much is read ahead while a request is being answered. Behind more than this a close shows only by the event that
 /// the kernel sends for it.
@@ -104,9 +104,14 @@
             if !watched() {
                 return false;
             }
-            if readiness == Readiness::Closed || self.read_ahead(room).is_err() {
+            if readiness == Readiness::Closed {
                 return true;
             }
+            match self.read_ahead(room) {
+                Ok(()) => {}
+                Err(error) if lacks_memory(&error) => sleep(MEMORY_RETRY).await,
+                Err(_) => return true,
+            }
         }
     }
 
@@ -115,7 +120,7 @@
         self.shared.stream.readable().await;
     }
 
-    /// Reads what is there, up to `room`. An error is the end of the connection.
+    /// Reads what is there, up to `room`. An error is the end of the connection, unless memory is lacking.
     fn read_ahead(&self, room: usize) -> io::Result<()> {
         let mut chunk = [0; READ_AHEAD_STEP];
         let step = room.min(READ_AHEAD_STEP);
@@ -130,8 +135,8 @@
         }
     }
 
-    /// Reads what is there, up to `room`, past the runtime. Whether there was anything; an error is the end of the
-    /// connection.
+    /// Reads what is there, up to `room`, past the runtime. Whether there was anything, as far as there is memory to tell;
+    /// an error is the end of the connection.
     fn read_ahead_now(&self, room: usize) -> io::Result<bool> {
         let mut chunk = [0; READ_AHEAD_STEP];
         let step = room.min(READ_AHEAD_STEP);
@@ -141,7 +146,7 @@
                 self.ahead().push(&chunk[..read]);
                 Ok(true)
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock || lacks_memory(&error) => Ok(false),
             Err(error) => Err(error),
         }
     }
--- a/crates/node/src/socket/stream.rs
+++ b/crates/node/src/socket/stream.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 
 use super::SystemCalls;
+use super::memory::poll_again_if_lacking;
 use super::registered::{Registered, uninterrupted};
 
 /// More buffers than this are an error to sendmsg(2); the rest is for the next write.
@@ -95,13 +96,15 @@
 
     /// Reads, and waits until there is something to read.
     pub fn poll_receive(&self, context: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
-        self.socket.poll_read_call(context, |socket| self.calls.receive(socket, buffer))
+        let read = self.socket.poll_read_call(context, |socket| self.calls.receive(socket, buffer));
+        poll_again_if_lacking(context, read)
     }
 
     /// Writes as much as the kernel takes, and waits until it takes something.
     pub fn poll_send(&self, context: &mut Context<'_>, slices: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
         let slices = slices.chunks(MAX_SLICES).next().unwrap_or_default();
-        self.socket.poll_write_call(context, |socket| self.calls.send(socket, slices))
+        let written = self.socket.poll_write_call(context, |socket| self.calls.send(socket, slices));
+        poll_again_if_lacking(context, written)
     }
 
     /// Reads into what is left of a buffer.
