--- a/crates/node/src/fronts/http/listener.rs
+++ b/crates/node/src/fronts/http/listener.rs
@@ -139,7 +139,7 @@
 
 impl Backlog {
     /// The queue was empty.
-    fn is_empty(&mut self) {
+    fn emptied(&mut self) {
         *self = Backlog::default();
     }
 
@@ -191,12 +191,12 @@
     if let Poll::Ready(accepted) = poll_fn(|context| Poll::Ready(accept.as_mut().poll(context))).await {
         return accepted;
     }
-    backlog.is_empty();
+    backlog.emptied();
     accept.await
 }
 
-/// A place for a new connection, and from when on it may have waited for one, if it had to. Where connections are accepted faster than
-/// the requests on them are answered, the tasks of both get their turn.
+/// A place for a new connection, and from when on it may have waited for one, if it had to. Where connections are
+/// accepted faster than the requests on them are answered, the tasks of both get their turn.
 async fn place(
     places: &Places,
     backlog: &mut Backlog,
