--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -123,13 +123,13 @@
 
     def serve(self, connection, reader):
         while message := read_message(reader):
-            line, headers, _ = message
+            line, headers, body = message
             if line.startswith(("GET /metrics/load ", "GET /alive ")):
                 connection.sendall(whole("200 OK", b"TEXT inflight=1, util=0.10, qps=10"))
                 continue
             request = headers.get("x-request-id", "?")
             self.record(f"{self.name} got {request} {line}")
-            if self.work(connection, request, headers) == "close":
+            if self.work(connection, request, headers, body) == "close":
                 return
 
     def answer_for(self, request):
@@ -137,7 +137,7 @@
         self.made.setdefault(request, []).append(body)
         return body
 
-    def serve_at_once(self, connection, request, _headers):
+    def serve_at_once(self, connection, request, _headers, _body):
         time.sleep(0.02)
         connection.sendall(whole("200 OK", self.answer_for(request)))
 
