--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,8 +9,8 @@
 sys.path.insert(0, str(FOLDER.parent))
 from stand_ins import *  # noqa: E402,F403
 
-MEMORY_MB, SOCKETS = 48, 384  # as of the sidecars in REPORTS-harelock.md
-PEERS, ROUNDS = 30, 2  # at once; under a tenth of the descriptors, of which clients may use a third
+MEMORY_MB, SOCKETS = 32, 256  # as of the sidecars in page3600 of REPORTS-harelock.md
+PEERS, ROUNDS = 30, 2  # at once: an eighth of the descriptors, of which clients may use a third
 CHUNKS = 60_000  # of one byte: less than the 64 KiB that a body may hold; 360 kB on the wire
 CLIENTS, LASTS = 5, 12.0
 
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -166,6 +166,8 @@
 class Sidecar:
     """The platform's side of one sidecar: its configuration, its process, its end."""
 
+    started = []
+
     def __init__(self, discovery, hosts, record, memory_mb, sockets, settings=None):
         with listen() as free:
             self.port = free.getsockname()[1]
@@ -183,6 +185,7 @@
                            ROUTER_LISTEN=config["listen"], ROUTER_DISCOVERY=config["discovery"])
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment,
                                         stdout=self.log, stderr=self.log)
+        Sidecar.started.append(self)
         self.wait_until_ready()
 
     def wait_until_ready(self):
@@ -271,11 +274,19 @@
     """Runs a case and exits with its verdict; a case that could not run exits with 2."""
     record = Record(folder)
     record("with the disruption" if TROUBLE else "without the disruption")
+
+    def out_of_time(*_):
+        raise TimeoutError("the case took too long")
+
+    signal.signal(signal.SIGTERM, out_of_time)
     try:
         verdict = run(record)
     except Exception as error:  # whatever it is, the case has shown nothing
         record(f"could not run: {error!r}")
         verdict = NOT_RUN
+    for sidecar in Sidecar.started:
+        if sidecar.is_running():
+            sidecar.end()
     record({HELD: "verdict: held", BROKEN: "verdict: broken", NOT_RUN: "verdict: could not run"}[verdict])
     sys.stdout.flush()
     os._exit(verdict)
