Bound the memory of bodies by their bytes and not by their chunks

Cause: requests and answers were collected by `Limited::collect`. Its bound counts bytes of content; each frame is kept as a handle of 32 bytes that keeps its read buffer alive, and the sender decides how many frames there are.

The same cause on related paths: pieces that are read ahead of a client count with what they take beside their bytes, and requests that come whole in one read take one entry in `Framing`.

Evidence: memory followed the number of chunks and not the bytes.

--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -94,6 +94,10 @@
     AnswerAndClose,
     /// Answers once the test says so.
     Wait(Arc<AtomicUsize>),
+    /// Writes these bytes as they are and leaves the connection open.
+    Raw(Vec<u8>),
+    /// Writes these bytes as they are and closes.
+    RawAndClose(Vec<u8>),
 }
 
 impl Deed {
@@ -187,6 +191,11 @@
                 until("the test lets go", || go.load(Ordering::SeqCst) > 0);
                 let _ = writer.write_all(&answer(200, "", b"late"));
             }
+            Deed::Raw(bytes) => drop(writer.write_all(&bytes)),
+            Deed::RawAndClose(bytes) => {
+                let _ = writer.write_all(&bytes);
+                return drop(reader.get_ref().shutdown(Shutdown::Both));
+            }
         }
     }
     log.closed.lock().unwrap().push((connection, CLOCK.fetch_add(1, Ordering::SeqCst)));
--- a/crates/node/src/fronts/http/framing.rs
+++ b/crates/node/src/fronts/http/framing.rs
@@ -19,14 +19,21 @@
 #[derive(Debug, Default)]
 pub struct Framing {
     part: Part,
-    /// When each request had come that is whole and not answered, the one that is being answered first.
-    whole: VecDeque<Instant>,
+    /// The requests that are whole and not answered, the one that is being answered first.
+    whole: VecDeque<Arrival>,
     /// Whether the first byte of another one has come.
     has_begun: bool,
     /// Whether a body has come whose length is not told in its head: where the next request begins is not known then.
     is_lost: bool,
 }
 
+/// Requests in a row that came whole in the same moment. One read may bring thousands of tiny ones.
+#[derive(Debug)]
+struct Arrival {
+    at: Instant,
+    requests: usize,
+}
+
 /// What the next byte belongs to.
 #[derive(Debug)]
 enum Part {
@@ -97,12 +104,25 @@
     fn is_whole(&mut self, at: Instant) {
         self.part = Part::default();
         self.has_begun = false;
-        self.whole.push_back(at);
+        match self.whole.back_mut() {
+            Some(last) if last.at == at => last.requests += 1,
+            _ => self.whole.push_back(Arrival { at, requests: 1 }),
+        }
+    }
+
+    /// The first of the requests that are whole is answered. Whether there was one.
+    fn remove_first(&mut self) -> bool {
+        let Some(first) = self.whole.front_mut() else { return false };
+        first.requests -= 1;
+        if first.requests == 0 {
+            self.whole.pop_front();
+        }
+        true
     }
 
     /// When the last byte of the request came that is being answered. `None` where that is not known, or it has not come.
     pub fn came_whole_at(&self) -> Option<Instant> {
-        self.whole.front().copied().filter(|_| !self.is_lost)
+        self.whole.front().filter(|_| !self.is_lost).map(|first| first.at)
     }
 
     /// The request that was being answered ends. `body`: the length of its body, as the server has read it.
@@ -111,7 +131,7 @@
             self.is_lost = true;
             return Behind::Unknown;
         }
-        if self.whole.pop_front().is_none() {
+        if !self.remove_first() {
             // It was answered before it had come whole, and the server ends the connection.
             *self = Framing::default();
             return Behind::Nothing;
--- a/crates/node/src/fronts/http/framing/tests.rs
+++ b/crates/node/src/fronts/http/framing/tests.rs
@@ -66,6 +66,19 @@
     }
 }
 
+/// Guards against memory of 16 bytes for each request of three bytes that one read brings.
+#[test]
+fn requests_that_came_in_one_read_take_one_entry() {
+    const REQUESTS: usize = 10_000;
+    let mut framing = Framing::default();
+    framing.received(&b"a\n\n".repeat(REQUESTS), Instant::now());
+    assert_eq!(framing.whole.len(), 1);
+    for _ in 1..REQUESTS {
+        assert_eq!(framing.end_of_request(Some(0)), Behind::Whole);
+    }
+    assert_eq!(framing.end_of_request(Some(0)), Behind::Nothing);
+}
+
 #[test]
 fn empty_lines_may_stand_before_a_request_and_lines_may_end_without_carriage_return() {
     let mut framing = Framing::default();
--- a/crates/node/src/fronts/http/request.rs
+++ b/crates/node/src/fronts/http/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
@@ -16,6 +16,7 @@
 use super::framing::Framing;
 use super::listener::Who;
 use super::socket::ClientSocket;
+use crate::body::{ReadBodyError, read_body};
 use crate::engine::{
     FinalAnswer, ForwardedRequest, MAX_BODY_BYTES, RequestNames, ValidatedRequest, end_to_end_headers,
 };
@@ -71,12 +72,12 @@
         Err((status, reason)) => return plain(status, reason),
     };
     let (head, body) = request.into_parts();
-    let body = match timeout_at(by, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    let body = match timeout_at(by, read_body(body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(ReadBodyError::TooLong)) => {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
-        Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "the body is broken"),
+        Ok(Err(ReadBodyError::Broken(_))) => return plain(StatusCode::BAD_REQUEST, "the body is broken"),
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
     let at = Instant::now();
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -19,11 +19,14 @@
 use crate::engine::ClientConnection;
 use crate::socket::{MEMORY_RETRY, Readiness, Stream, lacks_memory};
 
-/// So much is read ahead while a request is being answered. Behind more than this a close shows only by the event that
-/// the kernel sends for it.
+/// The memory that bytes read ahead while a request is being answered may take. Behind more than this a close shows only
+/// by the event that the kernel sends for it.
 const READ_AHEAD_BYTES: usize = 64 << 10;
 /// One read ahead takes in so much.
 const READ_AHEAD_STEP: usize = 4 << 10;
+/// The memory that a piece takes beside its bytes: its entry, of which a queue that grows may hold twice as many as it
+/// needs, and its allocation.
+const PIECE_OVERHEAD_BYTES: usize = 2 * size_of::<Piece>() + 32;
 
 /// A handle to the socket of a client. The socket is closed with its last handle.
 #[derive(Clone)]
@@ -36,10 +39,18 @@
     ahead: Mutex<Ahead>,
 }
 
+/// The bytes of one read ahead that were not asked for yet.
+struct Piece {
+    bytes: Bytes,
+    /// When they came.
+    came: Instant,
+}
+
 /// What was read ahead and not asked for yet.
 struct Ahead {
-    /// Each piece, and when it came.
-    pieces: VecDeque<(Bytes, Instant)>,
+    pieces: VecDeque<Piece>,
+    /// The memory that the pieces take. A sender decides how many there are, so that their bytes alone do not tell.
+    memory: usize,
     /// When what the server was given last had come.
     given: Instant,
     /// From when on the connection may have waited to be accepted, until all that came meanwhile is read.
@@ -49,13 +60,15 @@
 }
 
 impl Ahead {
-    fn len(&self) -> usize {
-        self.pieces.iter().map(|(piece, _)| piece.len()).sum()
+    /// How many more bytes may be read ahead.
+    fn room(&self) -> usize {
+        READ_AHEAD_BYTES.saturating_sub(self.memory + PIECE_OVERHEAD_BYTES)
     }
 
     fn push(&mut self, bytes: &[u8]) {
         let came = self.came();
-        self.pieces.push_back((Bytes::copy_from_slice(bytes), came));
+        self.memory += bytes.len() + PIECE_OVERHEAD_BYTES;
+        self.pieces.push_back(Piece { bytes: Bytes::copy_from_slice(bytes), came });
     }
 
     /// When something had come that is read now.
@@ -65,14 +78,16 @@
 
     /// Gives as much of the first piece as there is room for. Whether there was one.
     fn give(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
-        let Some((piece, came)) = self.pieces.front_mut() else { return false };
-        let taken = piece.len().min(buffer.remaining());
-        buffer.put_slice(&piece[..taken]);
-        piece.advance(taken);
-        self.given = *came;
-        if piece.is_empty() {
+        let Some(piece) = self.pieces.front_mut() else { return false };
+        let taken = piece.bytes.len().min(buffer.remaining());
+        buffer.put_slice(&piece.bytes[..taken]);
+        piece.bytes.advance(taken);
+        self.given = piece.came;
+        if piece.bytes.is_empty() {
             self.pieces.pop_front();
+            self.memory -= PIECE_OVERHEAD_BYTES;
         }
+        self.memory -= taken;
         true
     }
 }
@@ -82,6 +97,7 @@
     pub fn new(stream: Stream, queued_since: Option<Instant>) -> ClientSocket {
         let ahead = Ahead {
             pieces: VecDeque::new(),
+            memory: 0,
             given: Instant::now(),
             queued_since: queued_since.filter(|_| stream.has_unread()),
             has_given: false,
@@ -93,7 +109,7 @@
     /// with `false` if something happened on the socket and `watched` no longer holds.
     pub async fn closed_by_peer(&self, watched: impl Fn() -> bool) -> bool {
         loop {
-            let room = READ_AHEAD_BYTES.saturating_sub(self.ahead().len());
+            let room = self.ahead().room();
             let readiness = if room > 0 {
                 self.shared.stream.readable().await
             } else {
@@ -182,7 +198,7 @@
 impl ClientConnection for ClientSocket {
     fn has_disconnected(&self) -> bool {
         loop {
-            let room = READ_AHEAD_BYTES.saturating_sub(self.ahead().len());
+            let room = self.ahead().room();
             if room == 0 {
                 return false;
             }
--- a/crates/node/src/fronts/http/socket_tests.rs
+++ b/crates/node/src/fronts/http/socket_tests.rs
@@ -81,3 +81,26 @@
     socket.read_exact(&mut [0; 5]).await.expect("bytes");
     assert!(socket.came_at() > queued_since + Duration::from_millis(400));
 }
+
+/// Guards against memory of over 100 bytes for each byte that is read ahead by itself.
+#[tokio::test]
+async fn what_is_read_ahead_byte_by_byte_takes_no_more_memory_than_one_piece_may() {
+    let (mut client, mut socket) = connected().await;
+    client.set_nodelay(true).expect("an option");
+    let mut sent = 0;
+    while socket.shared.ahead.lock().expect("a lock").room() > 0 {
+        client.write_all(b"x").expect("written");
+        sent += 1;
+        assert!(!socket.has_disconnected());
+    }
+    let held = {
+        let ahead = socket.shared.ahead.lock().expect("a lock");
+        ahead.pieces.capacity() * size_of::<Piece>() + ahead.pieces.len()
+    };
+    assert!(held <= READ_AHEAD_BYTES, "{held} bytes are held for {sent}");
+    let mut read = vec![0; sent];
+    socket.read_exact(&mut read).await.expect("nothing is lost");
+    assert_eq!(read, vec![b'x'; sent]);
+    let ahead = socket.shared.ahead.lock().expect("a lock");
+    assert_eq!((ahead.memory, ahead.pieces.len()), (0, 0));
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`engine`] names the seams: an [`engine::Intake`] for those who ask, a [`engine::Transport`] to those who are
 //! asked and a [`engine::DiscoverySource`] for the list of them. What lies behind them does not know of each other.
 
+mod body;
 pub mod capture;
 pub mod config;
 pub mod engine;
--- a/crates/node/src/transports/http1/exchange.rs
+++ b/crates/node/src/transports/http1/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -13,7 +13,8 @@
 
 use super::connection::Connection;
 use super::stream::WritePolicy;
-use crate::engine::{Answer, ForwardedRequest, MAX_BODY_BYTES};
+use crate::body::{ReadBodyError, read_body};
+use crate::engine::{Answer, ForwardedRequest};
 
 /// How much less than the remaining time is advertised to upstreams in `X-Timeout-Ms`.
 ///
@@ -29,7 +30,7 @@
     ConnectionBroken(hyper::Error),
     /// The answer began before the last byte of the request was written.
     EarlyAnswer(Answer),
-    /// The body of the answer exceeds [`MAX_BODY_BYTES`].
+    /// The body of the answer exceeds [`MAX_BODY_BYTES`](crate::engine::MAX_BODY_BYTES).
     AnswerTooLong,
     /// The engine cancelled the attempt.
     Cancelled,
@@ -63,12 +64,10 @@
 /// of the connection leaves it incomplete and is an error.
 async fn read_answer(response: Response<Incoming>) -> Result<Answer, ExchangeError> {
     let (head, body) = response.into_parts();
-    match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() }),
-        // Any error other than hyper's own comes from `Limited`: the body is too long.
-        Err(error) => Err(error
-            .downcast()
-            .map_or(ExchangeError::AnswerTooLong, |error| ExchangeError::ConnectionBroken(*error))),
+    match read_body(body).await {
+        Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body }),
+        Err(ReadBodyError::TooLong) => Err(ExchangeError::AnswerTooLong),
+        Err(ReadBodyError::Broken(error)) => Err(ExchangeError::ConnectionBroken(error)),
     }
 }
 
