Fail answers and refuse requests in a transfer coding that is not undone

Cause: hyper undoes `chunked` where it is the last coding and reads to the close where it is not. `read_answer` took either for the content, and the header was removed, as it ends with the connection. Requests in `gzip, chunked` took the same way.

Change: `transfer_coding.rs` accepts no coding, or `chunked` once and alone. Any other one makes an answer a failed attempt that may have run, is answered 501 in a request and fails a call of discovery. The log names the coding.

Interim answers and trailers with such a header change nothing (transports/http1/tests/answers.rs).

--- a/crates/node/src/fronts/http/request.rs
+++ b/crates/node/src/fronts/http/request.rs
@@ -22,6 +22,7 @@
 };
 use crate::figures::InFlight;
 use crate::fronts::address_lists::Client;
+use crate::transfer_coding::check_transfer_coding;
 
 /// A longer time-out is absurd: no class may have so long a limit. None at all is not: a client counts from when it
 /// sent the request, and its time may have been up by then.
@@ -132,6 +133,9 @@
     names: &RequestNames,
 ) -> Result<(ClassId, TenantId, Duration), Malformed> {
     let bad = |reason| (StatusCode::BAD_REQUEST, reason);
+    if check_transfer_coding(request.headers()).is_err() {
+        return Err((StatusCode::NOT_IMPLEMENTED, "the transfer coding is not supported"));
+    }
     let class = names.class_for_uri(request.uri()).ok_or((StatusCode::NOT_FOUND, "no such path"))?;
     let headers = request.headers();
     match single(headers, "x-priority-class")? {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod rosters;
 pub mod routing;
 pub mod socket;
+mod transfer_coding;
 pub mod transports;
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -28,6 +28,7 @@
 use crate::rosters::json_stream::JsonStream;
 use crate::rosters::source_clock::clock_reading;
 use crate::socket::{self, ConnectError, Stream, SystemCalls};
+use crate::transfer_coding::check_transfer_coding;
 
 /// The wait before the first retry when this machine cannot open a connection. It doubles with each retry.
 const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(5);
@@ -227,6 +228,7 @@
         if response.status() != StatusCode::OK {
             bail!("answered with status {}", response.status());
         }
+        check_transfer_coding(response.headers())?;
         self.clock.observe(self.millis(), ListEvent::Answered);
         self.update_reachability(Reachability::Up);
         // Delivered once, with the first list of the watch.
--- a/crates/node/src/transports/http1/attempt.rs
+++ b/crates/node/src/transports/http1/attempt.rs
@@ -363,6 +363,7 @@
         ExchangeError::AnswerTooLong => {
             AttemptEnd::Failed(Outcome::Error, format!("the answer is longer than {MAX_BODY_BYTES} bytes"))
         }
+        ExchangeError::UnsupportedCoding(error) => AttemptEnd::Failed(Outcome::Error, error.to_string()),
         ExchangeError::TimedOut => AttemptEnd::Outcome(Outcome::TimedOut, None),
         ExchangeError::Cancelled => AttemptEnd::Outcome(Outcome::Cancelled, None),
         ExchangeError::IdempotencyWindowClosed => {
@@ -387,6 +388,9 @@
             Outcome::Unreachable,
             "the server sent too long an answer before the request was completely written".to_owned(),
         ),
+        ExchangeError::UnsupportedCoding(error) => {
+            AttemptEnd::Failed(Outcome::Unreachable, error.to_string())
+        }
         ExchangeError::IdempotencyWindowClosed => {
             AttemptEnd::Failed(Outcome::Unreachable, IDEMPOTENCY_WINDOW_CLOSED.to_owned())
         }
--- a/crates/node/src/transports/http1/exchange.rs
+++ b/crates/node/src/transports/http1/exchange.rs
@@ -15,6 +15,7 @@
 use super::stream::WritePolicy;
 use crate::body::{ReadBodyError, read_body};
 use crate::engine::{Answer, ForwardedRequest};
+use crate::transfer_coding::{UnsupportedCoding, check_transfer_coding};
 
 /// How much less than the remaining time is advertised to upstreams in `X-Timeout-Ms`.
 ///
@@ -32,6 +33,8 @@
     EarlyAnswer(Answer),
     /// The body of the answer exceeds [`MAX_BODY_BYTES`](crate::engine::MAX_BODY_BYTES).
     AnswerTooLong,
+    /// The answer is in a transfer coding that is not undone, so that its content is not known.
+    UnsupportedCoding(UnsupportedCoding),
     /// The engine cancelled the attempt.
     Cancelled,
     /// The attempt reached its deadline.
@@ -61,9 +64,10 @@
 }
 
 /// Reads the body of an answer. A body without a length ends when the upstream closes the connection; a reset
-/// of the connection leaves it incomplete and is an error.
+/// of the connection leaves it incomplete and is an error. So is a transfer coding that is not undone.
 async fn read_answer(response: Response<Incoming>) -> Result<Answer, ExchangeError> {
     let (head, body) = response.into_parts();
+    check_transfer_coding(&head.headers).map_err(ExchangeError::UnsupportedCoding)?;
     match read_body(body).await {
         Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body }),
         Err(ReadBodyError::TooLong) => Err(ExchangeError::AnswerTooLong),
--- a/crates/node/src/transports/http1/tests/answers.rs
+++ b/crates/node/src/transports/http1/tests/answers.rs
@@ -51,7 +51,7 @@
 
 #[tokio::test]
 async fn complete_answers_are_returned() {
-    let answers: [(&[u8], ConnectionEnd); 4] = [
+    let answers: [(&[u8], ConnectionEnd); 6] = [
         (OK_FIRST, ConnectionEnd::KeptOpen),
         (b"HTTP/1.1 200 OK\r\n\r\nfirst", ConnectionEnd::Closed),
         (
@@ -62,6 +62,17 @@
             b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
             ConnectionEnd::KeptOpen,
         ),
+        // Only the head of the final answer tells of its transfer coding.
+        (
+            b"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: gzip\r\n\r\n\
+              HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+            ConnectionEnd::KeptOpen,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+              5\r\nfirst\r\n0\r\nTransfer-Encoding: gzip\r\n\r\n",
+            ConnectionEnd::KeptOpen,
+        ),
     ];
     for (bytes, ending) in answers {
         let (outcome, body) = outcome_of(bytes, ending).await;
@@ -113,6 +124,18 @@
     assert_eq!(outcome_of(&bytes, ConnectionEnd::KeptOpen).await, (Outcome::Error, None));
 }
 
+#[tokio::test]
+async fn an_answer_in_an_unsupported_transfer_coding_is_an_error() {
+    for end in [ConnectionEnd::KeptOpen, ConnectionEnd::Closed] {
+        for status in ["200 OK", "503 Service Unavailable\r\nX-Not-Processed: 1"] {
+            let bytes = format!(
+                "HTTP/1.1 {status}\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n"
+            );
+            assert_eq!(outcome_of(bytes.as_bytes(), end).await, (Outcome::Error, None), "{status} {end:?}");
+        }
+    }
+}
+
 /// The outcome of an attempt whose request cannot be completely written before the upstream sends `bytes`.
 async fn early_outcome_of(bytes: &[u8], ending: ConnectionEnd) -> Outcome {
     let (transport, mut events, listener) = transport_with_upstream(settings()).await;
@@ -138,6 +161,11 @@
     assert_eq!(early_outcome_of(OK_FIRST, ConnectionEnd::KeptOpen).await, Outcome::Unreachable);
     assert_eq!(early_outcome_of(full, ConnectionEnd::KeptOpen).await, Outcome::Full);
     assert_eq!(early_outcome_of(b"", ConnectionEnd::Reset).await, Outcome::Unreachable);
+    assert_eq!(
+        early_outcome_of(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nfirst", ConnectionEnd::KeptOpen)
+            .await,
+        Outcome::Unreachable
+    );
     assert_eq!(
         early_outcome_of(b"HTTP/1.1 200 OK\r\n\r\nfirst", ConnectionEnd::Reset).await,
         Outcome::Unreachable
