Refuse requests that name a header servers need in Connection

Cause: `check` looks at the headers as they came, and `end_to_end_headers` then removes all that `Connection` names. Nothing said which headers are meant for the other end.

Change: `hop_by_hop.rs` names them: those of the protocol and those that describe the content. A request that names one in `Connection` is answered 400 unsent (RFC 9110, 7.6.1, forbids it); in answers such a header is passed on all the same. An option that is not text no longer hides the others of its line.

--- a/crates/node/src/engine/attempts.rs
+++ b/crates/node/src/engine/attempts.rs
@@ -11,9 +11,10 @@
 
 use super::counters::outcome_name;
 use super::idempotency_window::IdempotencyWindow;
-use super::message::{AttemptEnd, FinalAnswer, end_to_end_headers};
+use super::message::{AttemptEnd, FinalAnswer};
 use super::transport::{Attempt, AttemptInfo, Interest};
 use super::{Engine, InFlightAttempt};
+use crate::hop_by_hop::end_to_end_headers;
 
 /// The minimum time that a probe may take. Servers answer probes without queueing them behind requests, so
 /// waiting longer would yield no information.
--- a/crates/node/src/engine/message.rs
+++ b/crates/node/src/engine/message.rs
@@ -2,7 +2,7 @@
 //! protocol carries them.
 
 use bytes::Bytes;
-use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode, Uri};
 use sagemast::api::{Millis, Outcome, Reason};
 
@@ -69,34 +69,5 @@
     Failed,
 }
 
-/// Returns the headers that concern neither a single connection nor its framing.
-pub fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    const HOP_BY_HOP: [HeaderName; 9] = [
-        header::CONNECTION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-    ];
-    let listed_in_connection: Vec<String> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
-    let mut end_to_end = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        let hop_by_hop = HOP_BY_HOP.contains(name) || name == "keep-alive";
-        if !hop_by_hop && !listed_in_connection.iter().any(|listed| listed == name.as_str()) {
-            end_to_end.append(name, value.clone());
-        }
-    }
-    end_to_end
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/node/src/engine/mod.rs
+++ b/crates/node/src/engine/mod.rs
@@ -61,7 +61,7 @@
 };
 pub use idempotency_window::{IdempotencyWindow, WindowClosed};
 pub use intake::{Intake, RequestNames, ValidatedRequest};
-pub use message::{Answer, AttemptEnd, FinalAnswer, ForwardedRequest, MAX_BODY_BYTES, end_to_end_headers};
+pub use message::{Answer, AttemptEnd, FinalAnswer, ForwardedRequest, MAX_BODY_BYTES};
 pub use transport::{
     Attempt, AttemptInfo, ClientConnection, ConnectionCounts, Interest, ReuseLimit, Transport,
     TransportEvents, UpstreamInfo, ZoneCheck, ZonePolicy,
--- a/crates/node/src/fronts/http/request.rs
+++ b/crates/node/src/fronts/http/request.rs
@@ -17,11 +17,10 @@
 use super::listener::Who;
 use super::socket::ClientSocket;
 use crate::body::{ReadBodyError, read_body};
-use crate::engine::{
-    FinalAnswer, ForwardedRequest, MAX_BODY_BYTES, RequestNames, ValidatedRequest, end_to_end_headers,
-};
+use crate::engine::{FinalAnswer, ForwardedRequest, MAX_BODY_BYTES, RequestNames, ValidatedRequest};
 use crate::figures::InFlight;
 use crate::fronts::address_lists::Client;
+use crate::hop_by_hop::{end_to_end_headers, misdirected_header};
 use crate::transfer_coding::check_transfer_coding;
 
 /// A longer time-out is absurd: no class may have so long a limit. None at all is not: a client counts from when it
@@ -159,6 +158,10 @@
         (_, Idempotency::Idempotent) => return Err((StatusCode::METHOD_NOT_ALLOWED, "use GET")),
         _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "use POST")),
     }
+    // The headers that are checked here must be those that upstreams get.
+    if misdirected_header(headers).is_some() {
+        return Err(bad("Connection names a header that must be passed on"));
+    }
     if request.version() == Version::HTTP_11 && single(headers, "host")?.is_none() {
         return Err(bad("Host is missing"));
     }
