Bound what one message may take on the wire, and what one turn reads

Cause: content and head of a message are bounded, the rest is not, and hyper's decoder returns only when the socket has nothing more to read. Nothing else runs on the one thread meanwhile.

Change: `read_limit.rs` counts the bytes of each message, of clients and of servers. Over 512 KiB it is broken; the longest body in chunks of a byte takes 384 KiB. A connection that has read 32 KiB in a turn lets other tasks run.

Evidence: new tests in crates/harelock/tests/endless_messages.rs failed before (answers after 3.18 and 1.73 s where 1.5 s are asked) and pass after.

--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -98,6 +98,8 @@
     Raw(Vec<u8>),
     /// Writes these bytes as they are and closes.
     RawAndClose(Vec<u8>),
+    /// Writes the first bytes and then the others again and again, until the other side closes.
+    Endless(String, String),
 }
 
 impl Deed {
@@ -192,6 +194,13 @@
                 let _ = writer.write_all(&answer(200, "", b"late"));
             }
             Deed::Raw(bytes) => drop(writer.write_all(&bytes)),
+            Deed::Endless(first, block) => {
+                let mut written = writer.write_all(first.as_bytes());
+                while written.is_ok() {
+                    written = writer.write_all(block.as_bytes());
+                }
+                return;
+            }
             Deed::RawAndClose(bytes) => {
                 let _ = writer.write_all(&bytes);
                 return drop(reader.get_ref().shutdown(Shutdown::Both));
--- a/crates/node/src/fronts/http/connection.rs
+++ b/crates/node/src/fronts/http/connection.rs
@@ -29,6 +29,7 @@
 use super::socket::ClientSocket;
 use super::{Front, REQUEST_TIME};
 use crate::fronts::Phase;
+use crate::read_limit::{LimitedStream, MessageBytes};
 
 /// Room for a head; hyper also reads bodies through it.
 const BUFFER_BYTES: usize = 32 << 10;
@@ -100,10 +101,12 @@
         scarce: opened.scarce.clone(),
         activity: opened.activity.clone(),
         framing: Mutex::default(),
+        message: Arc::default(),
     });
     let activity = &exchange.activity;
     let (seen, serving) = (exchange.clone(), exchange.clone());
     let stream = InspectReader::new(stream, move |bytes: &[u8]| seen.received(bytes));
+    let stream = LimitedStream::new(stream, exchange.message.clone());
     let service = service_fn(move |request| serving.clone().answer(request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -254,6 +257,8 @@
     scarce: watch::Receiver<bool>,
     activity: Arc<Activity>,
     framing: Mutex<Framing>,
+    /// The bytes read since the last answer.
+    message: Arc<MessageBytes>,
 }
 
 impl Exchange {
@@ -288,6 +293,7 @@
             }
             in_flight.answered(response.status().as_u16());
         }
+        self.message.begin_message();
         let pipelined = self.pipelined(body);
         if self.is_last(&open) && !pipelined && !self.socket.has_unread() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod operator;
 pub mod output;
 pub mod peers;
+mod read_limit;
 pub mod replay;
 pub mod rosters;
 pub mod routing;
--- a/crates/node/src/transports/http1/stream.rs
+++ b/crates/node/src/transports/http1/stream.rs
@@ -14,6 +14,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::read_limit::{LimitedStream, MessageBytes};
 use crate::socket::Stream;
 
 /// Why a write was denied.
@@ -57,6 +58,8 @@
 #[derive(Default)]
 pub struct StreamState {
     written: AtomicU64,
+    /// The bytes read since the current exchange began.
+    answer: Arc<MessageBytes>,
     exchange: Mutex<Option<Exchange>>,
     first_denial: Mutex<Option<WriteDenied>>,
 }
@@ -75,6 +78,7 @@
     /// Begins an exchange, which ends when the returned guard is dropped. Outside an exchange every write is
     /// denied.
     pub fn begin_exchange(self: &Arc<Self>, policy: Box<dyn WritePolicy>) -> ExchangeGuard {
+        self.answer.begin_message();
         *lock(&self.exchange) = Some(Exchange { policy, started: false });
         ExchangeGuard(self.clone())
     }
@@ -139,10 +143,12 @@
 }
 
 impl GuardedStream {
-    /// Wraps a socket to which nothing has been written yet. Returns the stream and its shared state.
-    pub fn new(socket: Stream) -> (GuardedStream, Arc<StreamState>) {
+    /// Wraps a socket to which nothing has been written yet. Returns the stream, whose answers are bounded in length,
+    /// and its shared state.
+    pub fn new(socket: Stream) -> (LimitedStream<GuardedStream>, Arc<StreamState>) {
         let state = Arc::new(StreamState::default());
-        (GuardedStream { socket, state: state.clone() }, state)
+        let guarded = GuardedStream { socket, state: state.clone() };
+        (LimitedStream::new(guarded, state.answer.clone()), state)
     }
 
     /// Performs a write if it is allowed, and counts the bytes written.
