--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -463,6 +463,19 @@
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 
+    /// Stops the process until [`Sidecar::resume`].
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        until("it has stopped", || {
+            let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+            stat.rsplit(") ").next().unwrap().starts_with('T')
+        });
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn wait_exit(&mut self) -> ExitStatus {
         let mut status = None;
         until("it ends", || {
@@ -537,3 +550,22 @@
          X-Priority-Class: {class}\r\nX-Tenant-Id: acme\r\nX-Timeout-Ms: {timeout_ms}\r\n{key}{length}\r\n{body}"
     )
 }
+
+/// The head of a request of a class that has a body, with this value of `Transfer-Encoding`. The body is to follow.
+pub fn coded_head(class: &str, timeout_ms: u64, codings: &[&str]) -> String {
+    let text = request(class, timeout_ms);
+    let (head, _) = text.split_once("Content-Length").expect("a body");
+    let lines: String = codings.iter().map(|coding| format!("Transfer-Encoding: {coding}\r\n")).collect();
+    format!("{head}{lines}\r\n")
+}
+
+/// Two upstreams, of which the first to be asked does so and all later ones serve.
+pub fn first_then_ok(first: Deed) -> [Upstream; 2] {
+    let count = Arc::new(AtomicUsize::new(0));
+    [0, 1].map(|_| {
+        let (count, first) = (count.clone(), first.clone());
+        Upstream::new(move |_| {
+            if count.fetch_add(1, Ordering::SeqCst) == 0 { first.clone() } else { Deed::ok("served") }
+        })
+    })
+}
