--- a/crates/harelock/tests/endless_messages.rs
+++ b/crates/harelock/tests/endless_messages.rs
@@ -102,12 +102,7 @@
     for (first, endless) in answers {
         let block = endless.repeat(BLOCK_BYTES / endless.len());
         let deed = Deed::Endless(first.to_owned(), block);
-        let endless_ones: Vec<Upstream> = (0..SENDERS)
-            .map(|_| {
-                let deed = deed.clone();
-                Upstream::new(move |_| deed.clone())
-            })
-            .collect();
+        let endless_ones = alike(SENDERS, &deed);
         let (sidecar, _discovery) = Sidecar::with(&endless_ones.iter().collect::<Vec<_>>());
         assert_in_time(longest_answer(sidecar.address), &format!("{first:?} {endless:?}"));
     }
--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -551,12 +551,30 @@
     )
 }
 
-/// The head of a request of a class that has a body, with this value of `Transfer-Encoding`. The body is to follow.
+/// Lines of `Transfer-Encoding`, one for each value.
+pub fn coding_lines(codings: &[&str]) -> String {
+    codings.iter().map(|coding| format!("Transfer-Encoding: {coding}\r\n")).collect()
+}
+
+/// The head of a request of a class that has a body, with these lines of `Transfer-Encoding`. The body is to follow.
 pub fn coded_head(class: &str, timeout_ms: u64, codings: &[&str]) -> String {
     let text = request(class, timeout_ms);
     let (head, _) = text.split_once("Content-Length").expect("a body");
-    let lines: String = codings.iter().map(|coding| format!("Transfer-Encoding: {coding}\r\n")).collect();
-    format!("{head}{lines}\r\n")
+    format!("{head}{}\r\n", coding_lines(codings))
+}
+
+/// All requests that reached any of these.
+pub fn total<'a>(upstreams: impl IntoIterator<Item = &'a Upstream>) -> usize {
+    upstreams.into_iter().map(|upstream| upstream.requests().len()).sum()
+}
+
+/// So many upstreams that all do the same.
+pub fn alike(count: usize, deed: &Deed) -> Vec<Upstream> {
+    let upstream = |_| {
+        let deed = deed.clone();
+        Upstream::new(move |_| deed.clone())
+    };
+    (0..count).map(upstream).collect()
 }
 
 /// Two upstreams, of which the first to be asked does so and all later ones serve.
--- a/crates/harelock/tests/memory_limits.rs
+++ b/crates/harelock/tests/memory_limits.rs
@@ -8,7 +8,6 @@
 
 use std::fs::read_to_string;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
 use std::thread::{JoinHandle, sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -32,15 +31,8 @@
 
 /// A sidecar with the smallest limits, before servers that all do the same.
 fn start(deed: Deed) -> (Sidecar, Discovery, Vec<Upstream>) {
-    let upstreams: Vec<Upstream> = (0..SERVERS)
-        .map(|_| {
-            let deed = deed.clone();
-            Upstream::new(move |_| deed.clone())
-        })
-        .collect();
-    let entries = upstreams.iter().enumerate();
-    let entries = entries.map(|(number, upstream)| entry(&format!("s-{number}"), upstream.address, "ready"));
-    let known = list(5, true, &entries.collect::<Vec<_>>());
+    let upstreams = alike(SERVERS, &deed);
+    let known = ready(&upstreams.iter().collect::<Vec<_>>());
     let discovery = Discovery::new(&known);
     let settings = SETTINGS.replace("\"aim\":3000.0", "\"aim\":8000.0");
     let text = config("127.0.0.1:0", discovery.address, &known, DESCRIPTORS, &settings)
@@ -75,27 +67,19 @@
 
 /// Most of the peers' requests have reached a server: else the test has shown nothing.
 fn assert_most_were_sent(upstreams: &[Upstream]) {
-    let attempts: usize = upstreams.iter().map(|upstream| upstream.requests().len()).sum();
+    let attempts = total(upstreams);
     assert!(attempts > PEERS / 2, "{attempts} attempts");
 }
 
-fn connect(address: SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(address).expect("a connection");
-    stream.set_nodelay(true).expect("an option");
-    stream.set_read_timeout(Some(FOREVER)).expect("an option");
-    stream
-}
-
 #[test]
 fn requests_in_chunks_of_a_byte_stay_within_the_memory_limit() {
     let (sidecar, _discovery, _upstreams) = start(Deed::ok("served"));
     let address = sidecar.address;
     let peers = (0..PEERS).map(|_| {
         spawn(move || {
-            let mut stream = connect(address);
-            let _ = stream.write_all(
-                &[coded_head("log", 6_000, &["chunked"]).as_bytes(), &CHUNK.repeat(CHUNKS)].concat(),
-            );
+            let mut client = Client::to(address);
+            let head = coded_head("log", 6_000, &["chunked"]);
+            client.write(&[head.as_bytes(), &CHUNK.repeat(CHUNKS)].concat());
             sleep(STAY);
         })
     });
@@ -128,7 +112,9 @@
     let address = sidecar.address;
     let peers = (0..PEERS).map(|_| {
         spawn(move || {
-            let mut stream = connect(address);
+            let mut client = Client::to(address);
+            let stream = client.reader.get_mut();
+            stream.set_nodelay(true).expect("an option");
             let begun = Instant::now();
             let _ = stream.write_all(request("bill", READ_AHEAD_STAY.as_millis() as u64).as_bytes());
             // The pauses are so that the bytes are read one by one.
--- a/crates/harelock/tests/sidecar.rs
+++ b/crates/harelock/tests/sidecar.rs
@@ -10,11 +10,6 @@
 
 use loopback::*;
 
-/// All requests that reached any of these.
-fn total(upstreams: &[&Upstream]) -> usize {
-    upstreams.iter().map(|upstream| upstream.requests().len()).sum()
-}
-
 #[test]
 fn a_request_goes_on_and_comes_back_unchanged() {
     let upstream = Upstream::new(|m| Deed::Answer(200, "X-Note: kept\r\n", m.body.repeat(1_000)));
@@ -56,7 +51,7 @@
         let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
         let answer = Client::to(sidecar.address).ask("bill");
         assert_eq!(answer.status(), 502, "a failure promises nothing; a refusal would");
-        assert_eq!(total(&[&a, &b]), 1);
+        assert_eq!(total([&a, &b]), 1);
         assert_eq!(Client::to(sidecar.address).ask("bill").status(), 200);
     }
 }
@@ -66,7 +61,7 @@
     let [a, b] = first_then_ok(Deed::Answer(503, "X-Not-Processed: 1\r\n", vec![]));
     let (sidecar, _discovery) = Sidecar::with(&[&a, &b]);
     assert_eq!(Client::to(sidecar.address).ask("bill").status(), 200);
-    assert_eq!(total(&[&a, &b]), 2);
+    assert_eq!(total([&a, &b]), 2);
 }
 
 #[test]
@@ -469,7 +464,7 @@
     let settings = SETTINGS.replace(r#""window":5000.0"#, r#""window":3000.0"#);
     let (sidecar, _discovery) = Sidecar::with_settings(&[&a, &b], &settings);
     assert_eq!(Client::to(sidecar.address).ask("log").status(), 502);
-    assert_eq!(total(&[&a, &b]), 1);
+    assert_eq!(total([&a, &b]), 1);
 }
 
 #[test]
--- a/crates/harelock/tests/transfer_codings.rs
+++ b/crates/harelock/tests/transfer_codings.rs
@@ -23,12 +23,8 @@
 ];
 const CHUNKS: &str = "5\r\nfirst\r\n0\r\n\r\n";
 
-fn header_lines(values: &[&str]) -> String {
-    values.iter().map(|value| format!("Transfer-Encoding: {value}\r\n")).collect()
-}
-
 fn chunked_answer(values: &[&str]) -> Vec<u8> {
-    format!("HTTP/1.1 200 OK\r\n{}\r\n{CHUNKS}", header_lines(values)).into_bytes()
+    format!("HTTP/1.1 200 OK\r\n{}\r\n{CHUNKS}", coding_lines(values)).into_bytes()
 }
 
 /// Guards against an answer in a coding that was not undone being served as the answer of a server.
@@ -42,8 +38,7 @@
                 let answer = Client::to(sidecar.address).ask(class);
                 assert_eq!(answer.status(), status, "{values:?} {class}");
                 assert!(status != 200 || answer.body == b"served", "{values:?} {class}: {answer:?}");
-                let sent: usize = upstreams.iter().map(|upstream| upstream.requests().len()).sum();
-                assert_eq!(sent, attempts, "{values:?} {class}");
+                assert_eq!(total(&upstreams), attempts, "{values:?} {class}");
                 if status != 200 {
                     until("the log tells why", || sidecar.has_said(&["transfer coding", values[0]]));
                 }
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -49,8 +49,6 @@
 /// What was read ahead and not asked for yet.
 struct Ahead {
     pieces: VecDeque<Piece>,
-    /// The memory that the pieces take. A sender decides how many there are, so that their bytes alone do not tell.
-    memory: usize,
     /// When what the server was given last had come.
     given: Instant,
     /// From when on the connection may have waited to be accepted, until all that came meanwhile is read.
@@ -60,14 +58,18 @@
 }
 
 impl Ahead {
+    /// The memory that the pieces take. A sender decides how many there are, so that their bytes alone do not tell.
+    fn memory(&self) -> usize {
+        self.pieces.iter().map(|piece| piece.bytes.len() + PIECE_OVERHEAD_BYTES).sum()
+    }
+
     /// How many more bytes may be read ahead.
     fn room(&self) -> usize {
-        READ_AHEAD_BYTES.saturating_sub(self.memory + PIECE_OVERHEAD_BYTES)
+        READ_AHEAD_BYTES.saturating_sub(self.memory() + PIECE_OVERHEAD_BYTES)
     }
 
     fn push(&mut self, bytes: &[u8]) {
         let came = self.came();
-        self.memory += bytes.len() + PIECE_OVERHEAD_BYTES;
         self.pieces.push_back(Piece { bytes: Bytes::copy_from_slice(bytes), came });
     }
 
@@ -85,9 +87,7 @@
         self.given = piece.came;
         if piece.bytes.is_empty() {
             self.pieces.pop_front();
-            self.memory -= PIECE_OVERHEAD_BYTES;
         }
-        self.memory -= taken;
         true
     }
 }
@@ -97,7 +97,6 @@
     pub fn new(stream: Stream, queued_since: Option<Instant>) -> ClientSocket {
         let ahead = Ahead {
             pieces: VecDeque::new(),
-            memory: 0,
             given: Instant::now(),
             queued_since: queued_since.filter(|_| stream.has_unread()),
             has_given: false,
--- a/crates/node/src/fronts/http/socket_tests.rs
+++ b/crates/node/src/fronts/http/socket_tests.rs
@@ -102,5 +102,5 @@
     socket.read_exact(&mut read).await.expect("nothing is lost");
     assert_eq!(read, vec![b'x'; sent]);
     let ahead = socket.shared.ahead.lock().expect("a lock");
-    assert_eq!((ahead.memory, ahead.pieces.len()), (0, 0));
+    assert_eq!((ahead.memory(), ahead.pieces.len()), (0, 0));
 }
--- a/crates/node/src/hop_by_hop.rs
+++ b/crates/node/src/hop_by_hop.rs
@@ -6,6 +6,8 @@
 
 use hyper::header::{self, HeaderMap, HeaderName};
 
+use crate::header_list::list_elements;
+
 /// The headers that always end with the connection.
 const HOP_BY_HOP: [HeaderName; 10] = [
     header::CONNECTION,
@@ -45,9 +47,7 @@
 
 /// The header names among the options of all `Connection` headers. What is no header name is passed over.
 fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = HeaderName> {
-    let values = headers.get_all(header::CONNECTION).iter().map(|value| value.as_bytes());
-    let options = values.flat_map(|value| value.split(|byte| *byte == b',')).map(<[u8]>::trim_ascii);
-    options.filter_map(|option| HeaderName::from_bytes(option).ok())
+    list_elements(headers, &header::CONNECTION).filter_map(|option| HeaderName::from_bytes(option).ok())
 }
 
 /// Returns the first header that `Connection` names although it must reach the recipient at the other end. A sender must
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod figures;
 pub mod fronts;
+mod header_list;
 mod hop_by_hop;
 mod json;
 mod line_file;
--- a/crates/node/src/read_limit.rs
+++ b/crates/node/src/read_limit.rs
@@ -16,7 +16,7 @@
 
 /// The most bytes that one message may take on the wire. The longest body in chunks of a byte each takes six times its
 /// length; the rest is for the heads and the trailers.
-pub const MAX_MESSAGE_BYTES: usize = 8 * MAX_BODY_BYTES;
+const MAX_MESSAGE_BYTES: usize = 8 * MAX_BODY_BYTES;
 /// The most bytes that a connection reads before other tasks run.
 const MAX_TURN_BYTES: usize = 32 << 10;
 
--- a/crates/node/src/transfer_coding.rs
+++ b/crates/node/src/transfer_coding.rs
@@ -4,10 +4,10 @@
 //! one stands before it, or alone, the content that hyper delivers is not the content that was sent. The header does not
 //! go beyond the connection, so that the next recipient could not undo the coding either.
 
-use std::fmt::Write;
-
 use hyper::header::{self, HeaderMap};
 
+use crate::header_list::list_elements;
+
 /// How much of a header's value an error shows.
 const MAX_SHOWN_CHARS: usize = 64;
 
@@ -23,23 +23,19 @@
 ///
 /// Fails if the message is in another coding.
 pub fn check_transfer_coding(headers: &HeaderMap) -> Result<(), UnsupportedCoding> {
-    let values = || headers.get_all(header::TRANSFER_ENCODING).iter().map(|value| value.as_bytes());
-    let mut codings = values().flat_map(|value| value.split(|byte| *byte == b',')).map(<[u8]>::trim_ascii);
+    let mut codings = list_elements(headers, &header::TRANSFER_ENCODING);
     let is_undone = match codings.next_back() {
         None => true,
         Some(last) => last.eq_ignore_ascii_case(b"chunked") && codings.all(<[u8]>::is_empty),
     };
-    if is_undone { Ok(()) } else { Err(UnsupportedCoding(shown(values()))) }
+    if is_undone { Ok(()) } else { Err(UnsupportedCoding(shown(headers))) }
 }
 
-/// The values of a header as an error shows them: in one line of printable characters, cut where they are long.
-fn shown<'a>(values: impl Iterator<Item = &'a [u8]>) -> String {
-    let mut text = String::new();
-    for (number, value) in values.enumerate() {
-        let separator = if number > 0 { ", " } else { "" };
-        let _ = write!(text, "{separator}{}", value.escape_ascii());
-    }
-    text.chars().take(MAX_SHOWN_CHARS).collect()
+/// The codings of a message as an error shows them: in one line of printable characters, cut where they are long.
+fn shown(headers: &HeaderMap) -> String {
+    let lines = headers.get_all(header::TRANSFER_ENCODING).iter();
+    let lines: Vec<String> = lines.map(|line| line.as_bytes().escape_ascii().to_string()).collect();
+    lines.join(", ").chars().take(MAX_SHOWN_CHARS).collect()
 }
 
 #[cfg(test)]
