--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -110,6 +110,6 @@
         }
     }
     record.note(&format!("answers: {counts:?}"));
-    println!("peak of private memory: {peak} KiB; answers: {counts:?}");
+    say(&format!("peak of private memory: {peak} KiB; answers: {counts:?}"));
     finish(&record, &broken)
 }
--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -43,7 +43,7 @@
 
 /// The case could not be run.
 pub fn cannot_run(why: &str) -> ! {
-    eprintln!("cannot run: {why}");
+    let _ = writeln!(std::io::stderr(), "cannot run: {why}");
     end_all();
     std::process::exit(2)
 }
@@ -66,15 +66,20 @@
     }
 }
 
+/// Tells whoever reads along, if anybody does.
+pub fn say(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
 /// Ends the run with a verdict.
 pub fn finish(record: &Record, broken: &[String]) -> ! {
     for line in broken {
         record.note(&format!("BROKEN {line}"));
-        println!("broken: {line}");
+        say(&format!("broken: {line}"));
     }
     if broken.is_empty() {
         record.note("the rule held");
-        println!("the rule held");
+        say("the rule held");
     }
     end_all();
     std::process::exit(if broken.is_empty() { 0 } else { 1 })
@@ -95,9 +100,8 @@
             sleep(Duration::from_secs(115));
             cannot_run("it took too long")
         });
-        std::panic::set_hook(Box::new(|info| {
-            eprintln!("{info}");
-        }));
+        // A stand-in that fails must not leave a process behind.
+        std::panic::set_hook(Box::new(|info| cannot_run(&info.to_string())));
         let var = |name: &str| std::env::var(name).unwrap_or_else(|_| cannot_run(&format!("{name} is not set")));
         let record = Record::new(&Path::new(&var("CASE_FOLDER")).join("record.txt"));
         let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -478,6 +482,8 @@
     Hang,
     /// It writes these bytes and goes on.
     Raw(Vec<u8>),
+    /// It closes the connection.
+    Close,
 }
 
 pub type Conduct = Arc<dyn Fn(&Message, &mut TcpStream) -> Deed + Send + Sync>;
@@ -489,9 +495,15 @@
     pub address: SocketAddr,
     pub attempts: Arc<Mutex<Vec<Attempt>>>,
     pub held: Arc<AtomicU64>,
+    has_ended: Arc<AtomicBool>,
 }
 
 impl Server {
+    /// From now on it serves nothing: connections are closed, new ones too.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+    }
+
     pub fn start(record: &Record, name: &str, conduct: Conduct) -> Server {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
@@ -500,6 +512,7 @@
             address,
             attempts: Arc::default(),
             held: Arc::default(),
+            has_ended: Arc::default(),
         };
         let (this, record) = (server.clone(), record.clone());
         thread::spawn(move || {
@@ -517,7 +530,7 @@
         let mut reader = BufReader::new(stream);
         loop {
             // When the first byte has come.
-            if !matches!(reader.fill_buf(), Ok(bytes) if !bytes.is_empty()) {
+            if !matches!(reader.fill_buf(), Ok(bytes) if !bytes.is_empty()) || self.has_ended.load(Ordering::SeqCst) {
                 return;
             }
             let began = record.now();
@@ -554,6 +567,7 @@
                     writer.write_all(&answer).is_ok()
                 }
                 Deed::Raw(bytes) => writer.write_all(&bytes).is_ok(),
+                Deed::Close => false,
                 Deed::Hang => {
                     // Until the other side gives up.
                     let mut rest = [0; 512];
