--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,11 +1,12 @@
-//! Discovery answers its calls slowly, but within its own time limit, and a plan server begins to drain.
+//! Discovery answers its calls slowly, but within its own time limit, and a plan server begins to drain and ends.
 
 #[path = "../stand-ins-2/common.rs"]
 mod common;
 #[path = "../stand-ins-2/settings.rs"]
 mod settings;
 
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::Instant;
 
@@ -18,14 +19,35 @@
 const TOLD_MS: f64 = 6_000.0;
 /// `invariants.drain_grace`, with the slack of real sockets and that for a process that is held up.
 const GRACE_MS: f64 = 3_000.0 + 50.0 + 150.0;
+/// So long after it began to drain the plan server ends. Until then it finishes what it has.
+const ENDS_AFTER_MS: u64 = 20_000;
+const WORK_MS: u64 = 200;
 
 fn main() {
     let call = Call::from_env();
     let record = call.record.clone();
-    let conduct: Conduct = Arc::new(|_, _| Deed::Serve(ms(30), b"served".to_vec()));
     let zones = ["portland", "seattle", "spokane", "portland"];
-    let servers: Vec<Server> =
-        (0..4).map(|number| Server::start(&record, &format!("s-{number}"), conduct.clone())).collect();
+    let is_over = flag();
+    let cut: Arc<Mutex<Vec<String>>> = Arc::default();
+    let servers: Vec<Server> = (0..4)
+        .map(|number| {
+            let (is_over, cut, told) = (is_over.clone(), cut.clone(), record.clone());
+            let ends = number == 0;
+            let conduct: Conduct = Arc::new(move |request, _| {
+                let until = Instant::now() + ms(WORK_MS);
+                while Instant::now() < until {
+                    sleep(ms(5));
+                    if ends && is_over.load(Ordering::SeqCst) {
+                        told.note(&format!("s-0 ends while it runs {}", request.id()));
+                        cut.lock().unwrap().push(request.id());
+                        return Deed::Close;
+                    }
+                }
+                Deed::Serve(ms(0), b"served".to_vec())
+            });
+            Server::start(&record, &format!("s-{number}"), conduct)
+        })
+        .collect();
     let entries: Vec<Entry> = servers.iter().zip(zones).map(|(server, zone)| entry(server, zone)).collect();
     let discovery = Discovery::start(&record, entries.clone());
     if call.trouble {
@@ -47,7 +69,7 @@
             let (stop, record) = (stop.clone(), record.clone());
             thread::spawn(move || {
                 let mut client = None;
-                while !stop.load(std::sync::atomic::Ordering::SeqCst) {
+                while !stop.load(Ordering::SeqCst) {
                     let id = fresh_id();
                     let (class, key) = if number % 3 == 0 {
                         ("contribution-post", Some(format!("key-{id}")))
@@ -60,7 +82,7 @@
                     let answer = open.read(ms(2_000));
                     record.note(&format!("client {id} {class}: {:?}", answer.as_ref().map(Message::status)));
                     client = answer.map(|_| open);
-                    sleep(ms(150));
+                    sleep(ms(20));
                 }
             })
         })
@@ -68,11 +90,12 @@
     sleep(ms(5_000));
     let changed = record.now();
     discovery.change(Entry { health: "draining", ..entries[0].clone() });
-    let until = Instant::now() + ms(24_000);
-    while Instant::now() < until {
-        sleep(ms(100));
-    }
-    stop.store(true, std::sync::atomic::Ordering::SeqCst);
+    sleep(ms(ENDS_AFTER_MS));
+    is_over.store(true, Ordering::SeqCst);
+    servers[0].end();
+    discovery.change(Entry { health: "gone", ..entries[0].clone() });
+    sleep(ms(1_000));
+    stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().unwrap());
     let last = changed + TOLD_MS + GRACE_MS;
     let late: Vec<Attempt> =
@@ -89,5 +112,9 @@
             (end.began - changed) / 1e3
         ));
     }
+    let cut = cut.lock().unwrap();
+    if !broken.is_empty() && !cut.is_empty() {
+        broken.push(format!("{} requests ran at s-0 when it ended, and were cut off: {cut:?}", cut.len()));
+    }
     finish(&record, &broken)
 }
