Bound the memory that the messages of all connections take together

With 32 MB, 128 clients that send and get 64 KiB took the sidecar to 33.9 MB within 0.1 s; the platform kills it and all that it holds is lost. Left alive it took 41.9 MB.

Cause: Limits::by_memory turned all of memory_mb into connections. Each message was bounded, what all of them hold together was not. Measured by length of body: 13.4 MB at 200 bytes, 14.4 at 4 KB, 21.1 at 20 KB, 41.9 at 64 KiB. Twins: heads of 85 short fields 41.9 MB, bytes read ahead behind a request 45.4 MB.

Change: message_memory.rs divides what memory_mb leaves over connections into pools for requests, answers and what is read ahead. A message over 4 KiB reserves all that it may need before it is read on, and holds none while it waits. A request that gets none in half of its time is refused with 503, unforwarded. A client that does not read its answer for the longest deadline is closed, since it would hold memory that answers need.

--- a/crates/harelock/tests/loopback/mod.rs
+++ b/crates/harelock/tests/loopback/mod.rs
@@ -57,7 +57,7 @@
     while !head.ends_with(b"\r\n\r\n") {
         reader.read_until(b'\n', &mut head).ok().filter(|read| *read > 0)?;
     }
-    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut headers = [httparse::EMPTY_HEADER; 128];
     let headers: &[httparse::Header] = if head.starts_with(b"HTTP/") {
         let mut answer = httparse::Response::new(&mut headers);
         answer.parse(&head).expect("the head of an answer");
--- a/crates/node/src/body/tests.rs
+++ b/crates/node/src/body/tests.rs
@@ -33,12 +33,22 @@
     }
 }
 
+/// More than any body takes.
+fn pool() -> MemoryPool {
+    MemoryPool::new(1 << 20)
+}
+
+fn memory(pool: &MemoryPool) -> BodyMemory<'_> {
+    BodyMemory { pool, head_bytes: 0, wait_until: None }
+}
+
 #[tokio::test]
 async fn a_body_is_read_whole_however_it_is_cut() {
+    let pool = pool();
     for length in [0, 1, 1_000, MAX_BODY_BYTES] {
         let content: Vec<u8> = (0..length).map(|position| position as u8).collect();
         for size in [1, 7, 4_096, MAX_BODY_BYTES] {
-            let body = read_body(Frames::of(&content, size)).await.expect("a body");
+            let body = read_body(Frames::of(&content, size), memory(&pool)).await.expect("a body");
             assert_eq!(body, content, "{length} bytes in pieces of {size}");
         }
     }
@@ -46,18 +56,20 @@
 
 #[tokio::test]
 async fn a_body_that_is_too_long_is_an_error_however_it_is_cut() {
+    let pool = pool();
     let content = vec![b'x'; MAX_BODY_BYTES + 1];
     for size in [1, 7, 4_096, MAX_BODY_BYTES, content.len()] {
-        let error = read_body(Frames::of(&content, size)).await.expect_err("too long");
+        let error = read_body(Frames::of(&content, size), memory(&pool)).await.expect_err("too long");
         assert!(matches!(error, ReadBodyError::TooLong), "pieces of {size}: {error}");
     }
 }
 
 #[tokio::test]
 async fn trailers_are_no_content() {
+    let pool = pool();
     let mut frames = Frames::of(b"content", 3);
     frames.0.push_back(Frame::trailers(HeaderMap::new()));
-    assert_eq!(read_body(frames).await.expect("a body"), b"content"[..]);
+    assert_eq!(read_body(frames, memory(&pool)).await.expect("a body"), b"content"[..]);
 }
 
 /// Guards against memory that grows with the number of frames instead of the length of the body.
@@ -71,3 +83,31 @@
         }
     }
 }
+
+/// Guards against bodies that take memory which was not reserved, and against memory that never comes back.
+#[tokio::test]
+async fn a_long_body_holds_memory_of_the_pool_until_it_is_dropped() {
+    let pool = MemoryPool::new(MAX_BODY_BYTES);
+    let content = vec![b'x'; 40_000];
+    let body = read_body(Frames::of(&content, 1_000), memory(&pool)).await.expect("a body");
+    assert_eq!(body, content);
+    assert!(pool.try_reserve(MAX_BODY_BYTES - 40_000).is_none());
+    assert!(pool.try_reserve(MAX_BODY_BYTES - 41_000).is_some(), "no more than it needs");
+    drop(body);
+    assert!(pool.try_reserve(MAX_BODY_BYTES).is_some());
+}
+
+/// Guards against short bodies that wait behind long ones, and against long ones that wait past their time.
+#[tokio::test]
+async fn without_memory_short_bodies_are_read_and_long_ones_are_an_error_in_time() {
+    let pool = MemoryPool::new(MAX_BODY_BYTES);
+    let _all = pool.try_reserve(MAX_BODY_BYTES).expect("all of it");
+    let short = read_body(Frames::of(&[b'x'; 4_000], 100), memory(&pool)).await;
+    assert_eq!(short.expect("a body").len(), 4_000);
+    let wait_until = Some(Instant::now() + std::time::Duration::from_millis(30));
+    for (length, head_bytes) in [(5_000, 0), (1, 20_000)] {
+        let memory = BodyMemory { pool: &pool, head_bytes, wait_until };
+        let long = read_body(Frames::of(&vec![b'x'; length], 100), memory).await;
+        assert!(matches!(long, Err(ReadBodyError::NoMemory)), "{length} bytes, head of {head_bytes}");
+    }
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use crate::json;
+use crate::message_memory::MessageMemory;
 use crate::rosters::host_list::HostList;
 
 /// The configuration file.
@@ -35,6 +36,14 @@
 const OWN_SOCKETS: usize = 24;
 /// What a busy connection may hold: its buffer, a body each way, and the same again towards the upstream.
 const CONNECTION_KIB: usize = 256;
+/// What the process takes beside its connections: the program, the list of upstreams, the capture.
+const PROCESS_KIB: usize = 4 << 10;
+/// What a client's connection takes whatever it carries: the buffers of its HTTP server and the tasks that serve it.
+const CLIENT_KIB: usize = 80;
+/// The same for a connection to an upstream.
+const UPSTREAM_KIB: usize = 52;
+/// The allocator leaves one in so many parts of the rest unused, in gaps.
+const ALLOCATOR_GAPS: usize = 4;
 /// Fewer descriptors than this leave no room for connections on both sides.
 const MIN_SOCKETS: usize = 64;
 
@@ -66,6 +75,14 @@
         (self.sockets - self.sockets / 3).saturating_sub(OWN_SOCKETS).min(self.by_memory()).max(1)
     }
 
+    /// The memory for messages, over what all connections always hold.
+    pub fn message_memory(&self) -> MessageMemory {
+        let all_kib = self.memory_mb.saturating_mul(1024);
+        let connections_kib = self.clients() * CLIENT_KIB + self.upstreams() * UPSTREAM_KIB;
+        let left_kib = all_kib.saturating_sub(PROCESS_KIB + connections_kib);
+        MessageMemory::new((left_kib - left_kib / ALLOCATOR_GAPS).saturating_mul(1024))
+    }
+
     /// The connections on one side for which there is memory.
     fn by_memory(&self) -> usize {
         self.memory_mb.saturating_mul(1024) / CONNECTION_KIB
--- a/crates/node/src/fronts/http/connection.rs
+++ b/crates/node/src/fronts/http/connection.rs
@@ -21,6 +21,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until};
 use tokio_util::io::InspectReader;
+use tracing::warn;
 
 use super::activity::{Activity, OpenRequest};
 use super::framing::{Behind, Framing};
@@ -137,6 +138,11 @@
                 return if is_replaced { End::Replaced } else { End::ByUs };
             }
             () = client_left(socket, activity) => return End::ByClient,
+            // Nobody wants this answer any more, and others need the memory that it takes.
+            () = socket.output_stalled(front.longest_deadline.max(REQUEST_TIME)) => {
+                warn!("client_connection_closed reason=answer_not_read");
+                return End::ByClient;
+            }
             () = activity.is_idle(REQUEST_TIME), if may_shut => {
                 if rest.is_certain(activity, socket) {
                     connection.as_mut().graceful_shutdown();
--- a/crates/node/src/fronts/http/listener.rs
+++ b/crates/node/src/fronts/http/listener.rs
@@ -223,7 +223,7 @@
 /// Finds out who is at the other end of a new connection, as far as that is asked, and serves it.
 async fn identify(accepted: Accepted, front: &Arc<Front>, opened: Opened) {
     let Accepted { stream, peer, handshake } = accepted;
-    let socket = ClientSocket::new(stream, opened.queued_since);
+    let socket = ClientSocket::new(stream, opened.queued_since, front.memory.read_ahead.clone());
     let mut stream = socket.clone();
     let mut who = Who::default();
     let mut first = BytesMut::new();
--- a/crates/node/src/fronts/http/mod.rs
+++ b/crates/node/src/fronts/http/mod.rs
@@ -20,6 +20,7 @@
 use super::address_lists::AddressLists;
 use crate::engine::Intake;
 use crate::figures::{Figures, InFlight};
+use crate::message_memory::MessageMemory;
 
 pub use listener::{Capacity, Listeners, listen, serve};
 
@@ -39,6 +40,10 @@
     lists: Option<AddressLists>,
     /// Where requests are counted, if they are.
     figures: Option<Arc<Figures>>,
+    /// The memory for requests.
+    memory: MessageMemory,
+    /// The longest time after which a client gives a request up.
+    longest_deadline: Duration,
     /// Once the sidecar ends: when its last answers are due.
     last_answers: OnceLock<Instant>,
 }
@@ -50,8 +55,10 @@
         phase: watch::Receiver<Phase>,
         lists: Option<AddressLists>,
         figures: Option<Arc<Figures>>,
+        memory: MessageMemory,
+        longest_deadline: Duration,
     ) -> Front {
-        Front { intake, phase, lists, figures, last_answers: OnceLock::new() }
+        Front { intake, phase, lists, figures, memory, longest_deadline, last_answers: OnceLock::new() }
     }
 
     /// From now on no answer is owed later than this: the process will be gone by then, and a request that comes on
--- a/crates/node/src/fronts/http/request.rs
+++ b/crates/node/src/fronts/http/request.rs
@@ -10,13 +10,14 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use sagemast::api::*;
 use tokio::time::{Instant, timeout_at};
+use tracing::warn;
 
 use super::Front;
 use super::activity::OpenRequest;
 use super::framing::Framing;
 use super::listener::Who;
 use super::socket::ClientSocket;
-use crate::body::{ReadBodyError, read_body};
+use crate::body::{BodyMemory, ReadBodyError, head_memory, read_body};
 use crate::engine::{FinalAnswer, ForwardedRequest, MAX_BODY_BYTES, RequestNames, ValidatedRequest};
 use crate::figures::InFlight;
 use crate::fronts::address_lists::Client;
@@ -27,6 +28,10 @@
 /// sent the request, and its time may have been up by then.
 const MAX_TIMEOUT_MS: u64 = 1_000_000_000;
 
+/// Memory for a request is waited for during one in so many parts of its time: then there is time for its client to ask
+/// again.
+const MEMORY_WAIT_PART: u32 = 2;
+
 /// What is wrong with a request.
 type Malformed = (StatusCode, &'static str);
 
@@ -72,11 +77,18 @@
         Err((status, reason)) => return plain(status, reason),
     };
     let (head, body) = request.into_parts();
-    let body = match timeout_at(by, read_body(body)).await {
+    let wait_until = by.min(Instant::now() + time_left / MEMORY_WAIT_PART);
+    let memory = BodyMemory {
+        pool: &front.memory.requests,
+        head_bytes: head_memory(&head.headers),
+        wait_until: Some(wait_until),
+    };
+    let body = match timeout_at(by, read_body(body, memory)).await {
         Ok(Ok(body)) => body,
         Ok(Err(ReadBodyError::TooLong)) => {
             return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
+        Ok(Err(ReadBodyError::NoMemory)) => return no_memory(),
         Ok(Err(ReadBodyError::Broken(_))) => return plain(StatusCode::BAD_REQUEST, "the body is broken"),
         Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come"),
     };
@@ -195,6 +207,15 @@
     }
 }
 
+/// Nothing was forwarded, so that trying again is harmless. What has not been read of the request is dropped with its
+/// connection.
+fn no_memory() -> Response<Full<Bytes>> {
+    warn!("client_request_refused reason=no_memory");
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "too many long requests");
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn plain(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(reason.as_bytes())));
     *response.status_mut() = status;
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -14,9 +14,11 @@
 
 use bytes::{Buf, Bytes};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::engine::ClientConnection;
+use crate::message_memory::{MemoryPool, Reservation};
 use crate::socket::{MEMORY_RETRY, Readiness, Stream, lacks_memory};
 
 /// The memory that bytes read ahead while a request is being answered may take. Behind more than this a close shows only
@@ -24,6 +26,8 @@
 const READ_AHEAD_BYTES: usize = 64 << 10;
 /// One read ahead takes in so much.
 const READ_AHEAD_STEP: usize = 4 << 10;
+/// A peer that takes less of its output than this has stopped reading.
+const MIN_PROGRESS_BYTES: usize = 16 << 10;
 /// The memory that a piece takes beside its bytes: its entry, of which a queue that grows may hold twice as many as it
 /// needs, and its allocation.
 const PIECE_OVERHEAD_BYTES: usize = 2 * size_of::<Piece>() + 32;
@@ -37,6 +41,17 @@
 struct Shared {
     stream: Stream,
     ahead: Mutex<Ahead>,
+    blocked: Mutex<Option<Blocked>>,
+    /// Wakes whoever waits for writes to stall.
+    began_to_block: Notify,
+}
+
+/// Output that the peer does not read.
+#[derive(Clone, Copy)]
+struct Blocked {
+    since: Instant,
+    /// How much of it was taken since.
+    written: usize,
 }
 
 /// The bytes of one read ahead that were not asked for yet.
@@ -55,6 +70,10 @@
     queued_since: Option<Instant>,
     /// Whether the server was given anything.
     has_given: bool,
+    /// Where the memory for all but the first step of the pieces comes from.
+    pool: MemoryPool,
+    /// Reservations of a step each.
+    reserved: Vec<Reservation>,
 }
 
 impl Ahead {
@@ -63,9 +82,22 @@
         self.pieces.iter().map(|piece| piece.bytes.len() + PIECE_OVERHEAD_BYTES).sum()
     }
 
-    /// How many more bytes may be read ahead.
-    fn room(&self) -> usize {
-        READ_AHEAD_BYTES.saturating_sub(self.memory() + PIECE_OVERHEAD_BYTES)
+    /// How many more bytes may be read ahead. Reserves memory for them, as far as there is any.
+    fn room(&mut self) -> usize {
+        let next_piece = self.memory() + PIECE_OVERHEAD_BYTES;
+        let steps = Ahead::steps_for((next_piece + READ_AHEAD_STEP).min(READ_AHEAD_BYTES));
+        while self.reserved.len() < steps
+            && let Some(reservation) = self.pool.try_reserve(READ_AHEAD_STEP)
+        {
+            self.reserved.push(reservation);
+        }
+        let allowed = READ_AHEAD_STEP * (1 + self.reserved.len());
+        allowed.min(READ_AHEAD_BYTES).saturating_sub(next_piece)
+    }
+
+    /// The steps that have to be reserved for so much memory.
+    fn steps_for(memory: usize) -> usize {
+        memory.div_ceil(READ_AHEAD_STEP).saturating_sub(1)
     }
 
     fn push(&mut self, bytes: &[u8]) {
@@ -87,21 +119,31 @@
         self.given = piece.came;
         if piece.bytes.is_empty() {
             self.pieces.pop_front();
+            self.reserved.truncate(Ahead::steps_for(self.memory()));
         }
         true
     }
 }
 
 impl ClientSocket {
-    /// Takes over a stream that was just accepted and may have waited for that since a moment, if it had to wait.
-    pub fn new(stream: Stream, queued_since: Option<Instant>) -> ClientSocket {
+    /// Takes over a stream that was just accepted and may have waited for that since a moment, if it had to wait. What is
+    /// read ahead on it shares the memory of `pool` with others.
+    pub fn new(stream: Stream, queued_since: Option<Instant>, pool: MemoryPool) -> ClientSocket {
         let ahead = Ahead {
             pieces: VecDeque::new(),
             given: Instant::now(),
             queued_since: queued_since.filter(|_| stream.has_unread()),
             has_given: false,
+            pool,
+            reserved: Vec::new(),
         };
-        ClientSocket { shared: Arc::new(Shared { stream, ahead: Mutex::new(ahead) }) }
+        let shared = Shared {
+            stream,
+            ahead: Mutex::new(ahead),
+            blocked: Mutex::default(),
+            began_to_block: Notify::new(),
+        };
+        ClientSocket { shared: Arc::new(shared) }
     }
 
     /// Comes back once the peer has closed its sending side or the connection broke, whatever lies unread before that;
@@ -172,6 +214,43 @@
         !self.ahead().pieces.is_empty() || self.shared.stream.has_unread()
     }
 
+    /// Comes back once there has been output for `limit` of which the peer has not taken [`MIN_PROGRESS_BYTES`].
+    pub async fn output_stalled(&self, limit: Duration) {
+        loop {
+            let blocked_since = self.blocked().map(|blocked| blocked.since);
+            match blocked_since {
+                None => self.shared.began_to_block.notified().await,
+                Some(since) if since + limit <= Instant::now() => return,
+                Some(since) => sleep_until(since + limit).await,
+            }
+        }
+    }
+
+    /// Takes in that of so many bytes so many were written, if any.
+    fn wrote(&self, length: usize, written: Option<usize>) {
+        let now = Instant::now();
+        let mut blocked = self.blocked();
+        match (written, &mut *blocked) {
+            (Some(written), _) if written == length => *blocked = None,
+            (Some(written), Some(output)) => {
+                output.written += written;
+                if output.written >= MIN_PROGRESS_BYTES {
+                    *output = Blocked { since: now, written: 0 };
+                }
+            }
+            (None, None) => {
+                *blocked = Some(Blocked { since: now, written: 0 });
+                self.shared.began_to_block.notify_one();
+            }
+            (Some(_), None) | (None, Some(_)) => {}
+        }
+    }
+
+    /// Held for moments only, never over a wait.
+    fn blocked(&self) -> MutexGuard<'_, Option<Blocked>> {
+        self.shared.blocked.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// When what the server was given last had come.
     pub fn came_at(&self) -> Instant {
         self.ahead().given
@@ -242,7 +321,14 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.shared.stream.poll_send(context, slices)
+        let length = slices.iter().map(|slice| slice.len()).sum();
+        let sent = self.shared.stream.poll_send(context, slices);
+        match &sent {
+            Poll::Ready(Ok(written)) => self.wrote(length, Some(*written)),
+            Poll::Pending => self.wrote(length, None),
+            Poll::Ready(Err(_)) => {}
+        }
+        sent
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/fronts/http/socket_tests.rs
+++ b/crates/node/src/fronts/http/socket_tests.rs
@@ -14,7 +14,7 @@
     let listener = Listener::bind(Arc::new(Kernel), address).expect("a port");
     let client = BlockingStream::connect(listener.local_addr().expect("an address")).expect("a connection");
     let (accepted, _) = listener.accept().await;
-    (client, ClientSocket::new(accepted, None))
+    (client, ClientSocket::new(accepted, None, MemoryPool::new(1 << 20)))
 }
 
 #[tokio::test]
@@ -56,7 +56,7 @@
     let stream = Arc::into_inner(accepted.shared).expect("one handle").stream;
     client.write_all(b"first").expect("written");
     let queued_since = Instant::now() - Duration::from_millis(400);
-    let mut socket = ClientSocket::new(stream, Some(queued_since));
+    let mut socket = ClientSocket::new(stream, Some(queued_since), MemoryPool::new(1 << 20));
     for part in [&mut [0; 3][..], &mut [0; 2]] {
         socket.read_exact(part).await.expect("bytes");
         assert_eq!(socket.came_at(), queued_since);
@@ -76,7 +76,7 @@
     let (mut client, accepted) = connected().await;
     let stream = Arc::into_inner(accepted.shared).expect("one handle").stream;
     let queued_since = Instant::now() - Duration::from_millis(400);
-    let mut socket = ClientSocket::new(stream, Some(queued_since));
+    let mut socket = ClientSocket::new(stream, Some(queued_since), MemoryPool::new(1 << 20));
     client.write_all(b"later").expect("written");
     socket.read_exact(&mut [0; 5]).await.expect("bytes");
     assert!(socket.came_at() > queued_since + Duration::from_millis(400));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod json;
 mod line_file;
 pub mod log;
+pub mod message_memory;
 pub mod module_settings;
 pub mod operator;
 pub mod output;
--- a/crates/node/src/transports/http1/connection.rs
+++ b/crates/node/src/transports/http1/connection.rs
@@ -15,6 +15,7 @@
 
 use super::pool::MIN_IDLE_BEFORE_REUSE;
 use super::stream::{GuardedStream, StreamState};
+use crate::message_memory::MemoryPool;
 use crate::socket::{ConnectError, SystemCalls, connect};
 
 /// The size limit of hyper's buffer. It bounds the head of an answer; hyper also reads bodies through this
@@ -35,6 +36,8 @@
     pub stream: Arc<StreamState>,
     /// Whether the connection has carried a request and begun to receive its answer.
     pub used: bool,
+    /// The memory for the answers that it carries.
+    pub answer_memory: MemoryPool,
     /// When the connection became idle: when its last answer was completely read, or when it was opened.
     pub idle_since: Instant,
     /// Tells the task to close the connection when it is dropped or sent to.
@@ -48,6 +51,7 @@
     pub async fn open(
         system_calls: &Arc<dyn SystemCalls>,
         dial: SocketAddr,
+        answer_memory: MemoryPool,
         until: Instant,
         permit: OwnedSemaphorePermit,
     ) -> Result<Connection, ConnectError> {
@@ -70,7 +74,8 @@
             }
             permit
         });
-        Ok(Connection { sender, stream, used: false, idle_since: Instant::now(), close, task })
+        let idle_since = Instant::now();
+        Ok(Connection { sender, stream, used: false, answer_memory, idle_since, close, task })
     }
 
     /// Whether the connection can take a request now, as far as hyper has processed what the upstream sent.
--- a/crates/node/src/transports/http1/exchange.rs
+++ b/crates/node/src/transports/http1/exchange.rs
@@ -13,8 +13,9 @@
 
 use super::connection::Connection;
 use super::stream::WritePolicy;
-use crate::body::{ReadBodyError, read_body};
+use crate::body::{BodyMemory, ReadBodyError, head_memory, read_body};
 use crate::engine::{Answer, ForwardedRequest};
+use crate::message_memory::MemoryPool;
 use crate::transfer_coding::{UnsupportedCoding, check_transfer_coding};
 
 /// How much less than the remaining time is advertised to upstreams in `X-Timeout-Ms`.
@@ -58,19 +59,22 @@
     let response = connection.sender.send_request(request).await.map_err(ExchangeError::ConnectionBroken)?;
     connection.used = true;
     let early = connection.stream.written() < end_offset;
-    let answer = read_answer(response).await?;
+    let answer = read_answer(response, &connection.answer_memory).await?;
     connection.idle_since = Instant::now();
     if early { Err(ExchangeError::EarlyAnswer(answer)) } else { Ok(answer) }
 }
 
 /// Reads the body of an answer. A body without a length ends when the upstream closes the connection; a reset
 /// of the connection leaves it incomplete and is an error. So is a transfer coding that is not undone.
-async fn read_answer(response: Response<Incoming>) -> Result<Answer, ExchangeError> {
+async fn read_answer(response: Response<Incoming>, memory: &MemoryPool) -> Result<Answer, ExchangeError> {
     let (head, body) = response.into_parts();
     check_transfer_coding(&head.headers).map_err(ExchangeError::UnsupportedCoding)?;
-    match read_body(body).await {
+    // The attempt has a deadline of its own.
+    let memory = BodyMemory { pool: memory, head_bytes: head_memory(&head.headers), wait_until: None };
+    match read_body(body, memory).await {
         Ok(body) => Ok(Answer { status: head.status, headers: head.headers, body }),
         Err(ReadBodyError::TooLong) => Err(ExchangeError::AnswerTooLong),
+        Err(ReadBodyError::NoMemory) => Err(ExchangeError::TimedOut),
         Err(ReadBodyError::Broken(error)) => Err(ExchangeError::ConnectionBroken(error)),
     }
 }
--- a/crates/node/src/transports/http1/tests/answers.rs
+++ b/crates/node/src/transports/http1/tests/answers.rs
@@ -194,7 +194,9 @@
     let until = Instant::now() + Duration::from_secs(10);
     let permits = Arc::new(Semaphore::new(1));
     let permit = permits.acquire_owned().await.expect("a permit");
-    let mut connection = Connection::open(&kernel(), dial, until, permit).await.expect("a connection");
+    let mut connection = Connection::open(&kernel(), dial, settings().answer_memory, until, permit)
+        .await
+        .expect("a connection");
     let mut stream = accept(&listener).await;
     for (method, target, body) in [
         (Method::GET, "/", ""),
--- a/crates/node/src/transports/http1/tests/connections.rs
+++ b/crates/node/src/transports/http1/tests/connections.rs
@@ -84,7 +84,9 @@
     let permits = Arc::new(Semaphore::new(1));
     let permit = permits.clone().acquire_owned().await.expect("a permit");
     let until = Instant::now() + Duration::from_secs(10);
-    let connection = Connection::open(&kernel(), address, until, permit).await.expect("a connection");
+    let connection = Connection::open(&kernel(), address, settings().answer_memory, until, permit)
+        .await
+        .expect("a connection");
     let (mut stream, _): (BlockingStream, _) = listener.accept().expect("a connection");
     stream.set_nonblocking(true).expect("an option");
     drop(connection);
--- a/crates/node/src/transports/http1/tests/mod.rs
+++ b/crates/node/src/transports/http1/tests/mod.rs
@@ -27,6 +27,7 @@
     Attempt, AttemptInfo, EngineChannels, ForwardedRequest, Interest, RequestNames, ReuseLimit, TestEvents,
     Transport, UpstreamInfo,
 };
+use crate::message_memory::MemoryPool;
 use crate::socket::{Kernel, SystemCalls};
 
 const UPSTREAM: UpstreamId = UpstreamId(7);
@@ -40,6 +41,7 @@
         max_connections: 2,
         connect_timeout: Duration::from_secs(10),
         idle_timeout: Duration::from_secs(10),
+        answer_memory: MemoryPool::new(1 << 20),
         probe_path: "/alive",
     }
 }
--- a/crates/node/src/transports/http1/transport.rs
+++ b/crates/node/src/transports/http1/transport.rs
@@ -224,7 +224,9 @@
             }
         };
         let until = until.min(Instant::now() + self.settings.connect_timeout);
-        let opened = Connection::open(&self.system_calls, upstream_info.dial, until, permit).await;
+        let answer_memory = self.settings.answer_memory.clone();
+        let opened =
+            Connection::open(&self.system_calls, upstream_info.dial, answer_memory, until, permit).await;
         Ok(opened.inspect_err(|error| warn!("upstream {}: {error}", upstream_info.host))?)
     }
 
