Keep a call to discovery open beside the next one instead of closing it

Discovery takes 2.7 s for each call and is up all the time. A server that drained got as many requests as before until it ended 20 s later: 144 attempts later than 9.2 s after the change, and three statements cut off.

Cause: each call was closed after 2.5 s (CALL_TIMEOUT in listclock), 0.2 s before its answer, and so was the next one, for ever. Twins: a list that takes over 3 s, a first list that comes over 3 s after the head, calls that take longer than it is to the next call.

Change: a call or watch that is given up stays open, two at the most, and the first that goes on is followed (ListEvent::Resumed). When calls begin stays as it was, since a longer time-out would leave no time for a second call after one whose connection is dead. The call has a module of its own, rosters/discovery/call.rs.

--- a/crates/listclock/src/lib.rs
+++ b/crates/listclock/src/lib.rs
@@ -21,7 +21,7 @@
 /// Milliseconds: a point on the driver's clock, or a duration.
 pub type Millis = f64;
 
-/// The time in which discovery must answer a call, including the time to connect.
+/// The time in which discovery must answer a call, including the time to connect, or another one begins beside it.
 pub const CALL_TIMEOUT: Millis = 2_500.0;
 /// A watch that carries neither an empty line nor a list for this long is dead. Discovery sends an empty line
 /// every 2 s while nothing changes. After this timeout, the first retry window and one more call, the answer
@@ -117,6 +117,10 @@
     /// The call failed, the watch ended or broke, or the driver dropped the watch because it had missed
     /// something on it.
     Ended,
+    /// A call or a watch that was given up ([`Command::Cancel`]) and that the driver has kept open goes on after all:
+    /// discovery answered the call, or a list or an empty line came on the watch. It replaces the call or watch that is
+    /// open now, if there is one.
+    Resumed,
 }
 
 /// What the driver has to do now.
@@ -124,7 +128,10 @@
 pub enum Command {
     /// Call discovery.
     Call,
-    /// Drop the call or the watch. The driver need not report [`ListEvent::Ended`] for it.
+    /// Give up waiting for the call or the watch, which counts as failed. The driver need not report
+    /// [`ListEvent::Ended`] for it. It may drop it, or keep it open beside the next call and report
+    /// [`ListEvent::Resumed`] if it goes on: a discovery that takes longer than [`CALL_TIMEOUT`] for each call is
+    /// never heard otherwise.
     Cancel,
 }
 
@@ -279,7 +286,7 @@
     /// call nor a watch is open are ignored.
     pub fn observe(&mut self, now: Millis, event: ListEvent) {
         match (&mut self.state, event) {
-            (State::Calling { .. }, ListEvent::Answered) => {
+            (State::Calling { .. }, ListEvent::Answered) | (_, ListEvent::Resumed) => {
                 self.state = State::Watching { answered_at: now, last_activity: now, partial_since: None };
                 (self.failures, self.deadline_fixed) = (0, false);
             }
--- a/crates/listclock/tests/table.rs
+++ b/crates/listclock/tests/table.rs
@@ -155,6 +155,22 @@
     }
 }
 
+/// Guards against answers that are thrown away because they come after their call was given up.
+#[test]
+fn call_that_is_answered_after_it_was_given_up_becomes_the_watch() {
+    for config in [POLLED, PUSHED] {
+        for mut schedule in watching(config) {
+            schedule.observe(3_000.0, ListEvent::Ended);
+            let at = next_call(&mut schedule);
+            assert_eq!(schedule.poll(at + CALL_TIMEOUT), Some(Command::Cancel));
+            schedule.observe(at + CALL_TIMEOUT + 100.0, ListEvent::Resumed);
+            assert_eq!(schedule.due(), Some(at + CALL_TIMEOUT + 100.0 + SILENCE_TIMEOUT));
+            schedule.observe(at + CALL_TIMEOUT + 200.0, ListEvent::List);
+            assert_eq!(schedule.due(), Some(at + CALL_TIMEOUT + 200.0 + SILENCE_TIMEOUT), "a watch");
+        }
+    }
+}
+
 #[test]
 fn move_is_followed_before_its_update_deadline() {
     for config in [POLLED, PUSHED] {
--- a/crates/node/src/rosters/discovery.rs
+++ b/crates/node/src/rosters/discovery.rs
@@ -2,38 +2,38 @@
 //!
 //! It holds a watch open on the service's HTTP endpoint, decodes the lists of upstreams and the changes that
 //! arrive on it, and passes them to the engine. [`listclock`] decides when to call and when to give up.
+//!
+//! A call or a watch that is given up stays open beside the next call, and the first of them that goes on is followed.
+//! Otherwise a discovery that takes longer for each call than the sidecar waits would never be heard.
+
+mod call;
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use ::peers::api::Reachability;
-use anyhow::{Context, Result, bail};
+use anyhow::{Error, Result, bail};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper::client::conn::http1;
-use hyper::{Request, StatusCode, header};
-use hyper_util::rt::TokioIo;
 use listclock::{Command, ListEvent, Millis, Pace, PollSchedule, ScheduleConfig};
-use tokio::sync::watch;
-use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep_until};
 
 use crate::engine::{ClockReading, DiscoveryEvents, DiscoverySource, List, Subscription, SubscriptionStart};
 use crate::log;
 use crate::rosters::host_list::HostList;
-use crate::rosters::json_stream::JsonStream;
-use crate::rosters::source_clock::clock_reading;
-use crate::socket::{self, ConnectError, Stream, SystemCalls};
-use crate::transfer_coding::check_transfer_coding;
+use crate::socket::SystemCalls;
+use call::{Call, CallEvent, CallId, CallTarget};
 
-/// The wait before the first retry when this machine cannot open a connection. It doubles with each retry.
-const MIN_CONNECT_BACKOFF: Duration = Duration::from_millis(5);
-/// The longest wait between two such retries.
-const MAX_CONNECT_BACKOFF: Duration = Duration::from_millis(100);
+/// So many calls that were given up stay open: one that may be answered at any moment, and a later one in case the
+/// connection of the first is dead.
+const MAX_OVERDUE_CALLS: usize = 2;
+/// A call that has been open for this long without going on is dropped before later ones.
+const OVERDUE_CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// So many events of calls may wait to be handled. A call whose events wait reads no further.
+const MAX_WAITING_EVENTS: usize = 8;
 
 /// The platform's discovery service at a given address.
 pub struct PlatformDiscovery {
@@ -65,7 +65,13 @@
             let clock = PollSchedule::new(rules, start, seed, 0.0);
             let pace = events.pace();
             let epoch = Instant::now();
+            let (call_events, incoming) = mpsc::channel(MAX_WAITING_EVENTS);
             let task = WatchTask {
+                current: None,
+                overdue: Vec::new(),
+                last_call: 0,
+                call_events,
+                incoming,
                 address,
                 system_calls,
                 version: from,
@@ -86,6 +92,15 @@
 /// The state of a subscription's task: it calls discovery, reads the watch, and calls again when the watch
 /// ends.
 struct WatchTask {
+    /// The call or the watch that the clock knows of.
+    current: Option<Call>,
+    /// Those that were given up, the oldest first.
+    overdue: Vec<Call>,
+    /// Numbers the calls.
+    last_call: u64,
+    /// What calls report to.
+    call_events: mpsc::Sender<(CallId, CallEvent)>,
+    incoming: mpsc::Receiver<(CallId, CallEvent)>,
     address: SocketAddr,
     system_calls: Arc<dyn SystemCalls>,
     /// The version of the list that the sidecar has. With 0 the next call requests the complete list. A
@@ -119,151 +134,186 @@
     std::future::pending().await
 }
 
-/// Connects to discovery. Retries with exponential backoff as long as the cause is on this machine, because
-/// such a failure is no fault of discovery. The caller bounds the total time.
-async fn connect(
-    system_calls: &Arc<dyn SystemCalls>,
-    address: SocketAddr,
-) -> std::result::Result<Stream, ConnectError> {
-    let mut backoff = MIN_CONNECT_BACKOFF;
-    loop {
-        match socket::connect(system_calls, address).await {
-            Err(error) if error.is_local() => {
-                if backoff == MIN_CONNECT_BACKOFF {
-                    let resource =
-                        if is_out_of_descriptors(&error) { "a descriptor" } else { "a connection" };
-                    log::line(format!("discovery: waiting for {resource}: {error}"));
-                }
-                sleep(backoff).await;
-                backoff = MAX_CONNECT_BACKOFF.min(backoff * 2);
-            }
-            result => return result,
-        }
-    }
-}
-
-/// Whether the process (EMFILE) or the system (ENFILE) can open no more files.
-fn is_out_of_descriptors(error: &ConnectError) -> bool {
-    let ConnectError::Local(error) = error else { return false };
-    matches!(error.raw_os_error(), Some(libc::ENFILE | libc::EMFILE))
-}
-
 impl WatchTask {
-    /// Calls discovery and reads the watch whenever the clock says so, until the engine ends or the
-    /// subscription retires.
+    /// Calls discovery whenever the clock says so and reads what comes, until the engine ends or the subscription
+    /// retires.
     async fn run(mut self) {
         while !self.events.is_closed() {
             let due = self.clock.due().and_then(|due| self.instant(due));
             tokio::select! {
-                () = sleep_until(due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60))) => {}
-                pace = next_pace(&mut self.pace) => {
-                    self.clock.set_pace(self.millis(), pace);
-                    continue;
-                }
-            }
-            if self.retired.load(Ordering::Relaxed) {
-                return;
-            }
-            if self.clock.poll(self.millis()) == Some(Command::Call) {
-                let Err(end) = self.call().await;
-                // A call that ends before its answer has failed, so that discovery counts as down. When a
-                // watch ends after the answer, only the next call shows whether discovery is reachable.
-                if self.clock.is_calling() {
-                    self.update_reachability(Reachability::Down);
+                // What has come is handled before the clock gives up on it.
+                biased;
+                Some((id, event)) = self.incoming.recv() => self.handle(id, event),
+                pace = next_pace(&mut self.pace) => self.clock.set_pace(self.millis(), pace),
+                () = sleep_until(due.unwrap_or_else(|| Instant::now() + Duration::from_secs(60))) => {
+                    // Calls that the runtime has just woken report first.
+                    yield_now().await;
+                    match self.incoming.try_recv() {
+                        Ok((id, event)) => self.handle(id, event),
+                        Err(_) if self.retired.load(Ordering::Relaxed) && self.current.is_none() => return,
+                        Err(_) => self.follow_clock(),
+                    }
                 }
-                self.clock.observe(self.millis(), ListEvent::Ended);
-                log::line(format!("discovery: {end:#}"));
             }
         }
     }
 
-    /// The current time on the clock.
-    fn millis(&self) -> Millis {
-        self.epoch.elapsed().as_secs_f64() * 1e3
+    /// Carries out what the clock says now.
+    fn follow_clock(&mut self) {
+        match self.clock.poll(self.millis()) {
+            Some(Command::Call) => self.begin_call(),
+            Some(Command::Cancel) => self.give_up(),
+            None => {}
+        }
     }
 
-    /// Converts a time on the clock to an `Instant`. `None` if it is too far in the future to be one.
-    fn instant(&self, at: Millis) -> Option<Instant> {
-        self.epoch.checked_add(Duration::try_from_secs_f64(at / 1e3).ok()?)
+    fn begin_call(&mut self) {
+        self.last_call += 1;
+        let target =
+            CallTarget { address: self.address, from: self.version, system_calls: self.system_calls.clone() };
+        self.current = Some(Call::begin(CallId(self.last_call), target, self.call_events.clone()));
     }
 
-    /// Waits for a step of a call or a watch until the clock gives up. Then it reports discovery as down and
-    /// fails.
-    async fn wait_for<T>(
-        &mut self,
-        timeout_message: &'static str,
-        future: impl Future<Output = T>,
-    ) -> Result<T> {
-        let mut future = pin!(future);
-        loop {
-            let due = self
-                .clock
-                .due()
-                .and_then(|due| self.instant(due))
-                .context("the clock sets no deadline for the call")?;
-            if let Ok(output) = timeout_at(due, &mut future).await {
-                return Ok(output);
-            }
-            if self.clock.poll(self.millis()) == Some(Command::Cancel) {
-                self.update_reachability(Reachability::Down);
-                bail!("{timeout_message}");
-            }
+    /// Waits no longer for the current call or watch. It stays open in case it goes on, unless not even its connection
+    /// has come up.
+    fn give_up(&mut self) {
+        self.update_reachability(Reachability::Down);
+        let Some(call) = self.current.take() else { return };
+        let reason = if call.is_answered {
+            "the watch timed out: no list or empty line came, or a list is incomplete"
+        } else {
+            "no answer in time"
+        };
+        log::line(format!("discovery: {reason}"));
+        if call.is_connected {
+            self.keep_overdue(call);
         }
     }
 
-    /// Makes one call and reads its watch until it ends. Returns only with an error.
-    async fn call(&mut self) -> Result<Infallible> {
-        const TIMED_OUT: &str = "no answer in time";
-        let system_calls = self.system_calls.clone();
-        let stream = self.wait_for(TIMED_OUT, connect(&system_calls, self.address)).await??;
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-        // Dropping the set at the end of this call aborts the connection's task.
-        let mut tasks = JoinSet::new();
-        tasks.spawn(connection);
-        let request = Request::get(format!("/discovery/hosts?watch=1&from={}", self.version))
-            .header(header::HOST, self.address.to_string())
-            .body(Empty::<Bytes>::new())?;
-        let requested_at = Instant::now();
-        let response = self.wait_for(TIMED_OUT, sender.send_request(request)).await??;
-        if response.status() != StatusCode::OK {
-            bail!("answered with status {}", response.status());
-        }
-        check_transfer_coding(response.headers())?;
-        self.clock.observe(self.millis(), ListEvent::Answered);
-        self.update_reachability(Reachability::Up);
-        // Delivered once, with the first list of the watch.
-        let mut source_clock = clock_reading(response.headers(), requested_at);
-        let mut has_delivered = false;
-        let mut body = response.into_body();
-        let mut json_stream = JsonStream::default();
-        loop {
-            let frame = self
-                .wait_for(
-                    "the watch timed out: no list or empty line came, or a list is incomplete",
-                    body.frame(),
-                )
-                .await?;
-            let frame = frame.context("the watch ended")??;
-            let Ok(chunk) = frame.into_data() else { continue };
-            let lists = json_stream.push(&chunk).inspect_err(|_| self.version = 0)?;
-            let now = self.millis();
-            if !lists.is_empty() {
-                self.clock.observe(now, ListEvent::List);
+    /// Keeps a call that was given up. Where there are too many, the oldest one stays, since discovery works through
+    /// calls in turn, unless it has had its time.
+    fn keep_overdue(&mut self, call: Call) {
+        self.overdue.retain(|overdue| overdue.began.elapsed() < OVERDUE_CALL_TIMEOUT);
+        self.overdue.truncate(MAX_OVERDUE_CALLS - 1);
+        self.overdue.push(call);
+    }
+
+    /// Handles what happened on a call, if that is still open.
+    fn handle(&mut self, id: CallId, event: CallEvent) {
+        if self.current.as_ref().is_some_and(|call| call.id == id) {
+            if let Err(end) = self.advance(event) {
+                self.end_current(&end);
             }
-            if json_stream.has_partial_value() {
-                self.clock.observe(now, ListEvent::PartialList);
-            } else if lists.is_empty() && chunk.contains(&b'\n') {
-                // An empty line between lists is a keep-alive. Other whitespace there is not.
-                self.clock.observe(now, ListEvent::KeepAlive);
+        } else if let Some(index) = self.overdue.iter().position(|call| call.id == id) {
+            self.advance_overdue(index, event);
+        }
+    }
+
+    /// Handles what happened on the current call. An error is its end.
+    fn advance(&mut self, event: CallEvent) -> Result<()> {
+        let now = self.millis();
+        let Some(call) = &mut self.current else { return Ok(()) };
+        match event {
+            CallEvent::Connected => call.is_connected = true,
+            CallEvent::Answered(source_clock) => {
+                (call.is_answered, call.source_clock) = (true, source_clock);
+                self.clock.observe(now, ListEvent::Answered);
+                self.update_reachability(Reachability::Up);
             }
-            for list in &lists {
-                self.deliver(list, source_clock.take())?;
-                has_delivered = true;
+            CallEvent::Data(data) => {
+                let lists = call.lists.push(&data).inspect_err(|_| self.version = 0)?;
+                return self.advance_watch(&data, &lists);
             }
-            if has_delivered && !json_stream.has_partial_value() {
-                self.last_contact = Some(Instant::now());
+            CallEvent::Ended(end) => return Err(end),
+        }
+        Ok(())
+    }
+
+    /// Takes in bytes that came on the current watch and the lists that they complete.
+    fn advance_watch(&mut self, data: &Bytes, lists: &[HostList]) -> Result<()> {
+        let now = self.millis();
+        let Some(call) = &mut self.current else { return Ok(()) };
+        let is_partial = call.lists.has_partial_value();
+        let is_alive = shows_life(data, lists, is_partial);
+        if !lists.is_empty() {
+            self.clock.observe(now, ListEvent::List);
+        }
+        if is_partial {
+            self.clock.observe(now, ListEvent::PartialList);
+        } else if lists.is_empty() && is_alive {
+            self.clock.observe(now, ListEvent::KeepAlive);
+        }
+        if is_alive {
+            self.overdue.clear();
+        }
+        let mut source_clock = call.source_clock.take_if(|_| !lists.is_empty());
+        call.has_delivered |= !lists.is_empty();
+        let is_current = call.has_delivered && !is_partial;
+        for list in lists {
+            self.deliver(list, source_clock.take())?;
+        }
+        if is_current {
+            self.last_contact = Some(Instant::now());
+        }
+        Ok(())
+    }
+
+    /// Handles what happened on a call that was given up. It is followed again once it shows that discovery is there, as
+    /// long as no other call has.
+    fn advance_overdue(&mut self, index: usize, event: CallEvent) {
+        let call = &mut self.overdue[index];
+        match event {
+            CallEvent::Connected => {}
+            CallEvent::Answered(source_clock) => {
+                (call.is_answered, call.source_clock) = (true, source_clock);
+                if !self.current.as_ref().is_some_and(|current| current.is_answered) {
+                    self.resume(index);
+                }
             }
+            CallEvent::Data(data) => match call.lists.push(&data) {
+                Ok(lists) if shows_life(&data, &lists, call.lists.has_partial_value()) => {
+                    self.resume(index);
+                    if let Err(end) = self.advance_watch(&data, &lists) {
+                        self.end_current(&end);
+                    }
+                }
+                Ok(_) => {}
+                Err(_) => _ = self.overdue.remove(index),
+            },
+            CallEvent::Ended(_) => _ = self.overdue.remove(index),
+        }
+    }
+
+    /// Follows a call again that was given up.
+    fn resume(&mut self, index: usize) {
+        let call = self.overdue.swap_remove(index);
+        log::line(format!("discovery: answered after {} ms", call.began.elapsed().as_millis()));
+        self.overdue.clear();
+        self.current = Some(call);
+        self.clock.observe(self.millis(), ListEvent::Resumed);
+        self.update_reachability(Reachability::Up);
+    }
+
+    /// The current call failed, or its watch ended.
+    fn end_current(&mut self, end: &Error) {
+        self.current = None;
+        // A call that ends before its answer has failed, so that discovery counts as down. When a watch ends after the
+        // answer, only the next call shows whether discovery is reachable.
+        if self.clock.is_calling() {
+            self.update_reachability(Reachability::Down);
         }
+        self.clock.observe(self.millis(), ListEvent::Ended);
+        log::line(format!("discovery: {end:#}"));
+    }
+
+    /// The current time on the clock.
+    fn millis(&self) -> Millis {
+        self.epoch.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// Converts a time on the clock to an `Instant`. `None` if it is too far in the future to be one.
+    fn instant(&self, at: Millis) -> Option<Instant> {
+        self.epoch.checked_add(Duration::try_from_secs_f64(at / 1e3).ok()?)
     }
 
     /// Records whether discovery is reachable, and reports each change to the engine.
@@ -291,3 +341,9 @@
         Ok(())
     }
 }
+
+/// Whether bytes of a watch show that discovery is there: they complete lists, or hold an empty line between lists. Other
+/// whitespace there shows nothing, nor does a part of a list.
+fn shows_life(data: &Bytes, lists: &[HostList], is_partial: bool) -> bool {
+    !lists.is_empty() || (!is_partial && data.contains(&b'\n'))
+}
