Forward nothing for a client whose close lies behind much unread

A client sends many requests in a row and closes while the first is served; the next one is forwarded after the first answer, long after the close. Sent again on another connection it ran twice: a test saw ids 2, 3 and 3 again.

Cause: before the first byte of an attempt ClientSocket reads ahead to see whether the client is there, and answered "there" once its 64 KiB were full. The close or the reset was in the kernel, but the event comes a turn too late: the next request is parsed and sent in the same turn. Where the kernel's buffer is full as well the close cannot come, and retries were sent for a client that nobody could see.

Change: where no more can be read ahead, the kernel is asked by poll(2) with POLLRDHUP; and 80 ms after a client was last known to be there nothing new is sent for it (an attempt may begin 100 ms after a close). Reading ahead reserves memory only beyond its first 4 KiB.

A client that stays is answered.

--- a/crates/harelock/tests/client_endings.rs
+++ b/crates/harelock/tests/client_endings.rs
@@ -5,6 +5,8 @@
 
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use loopback::*;
@@ -249,3 +251,69 @@
     assert!(begun.elapsed() < Duration::from_secs(9), "served after {:?}", begun.elapsed());
     drop(idle);
 }
+
+/// Guards against requests that are forwarded because their client's close lies behind more than is read ahead: the answer
+/// to the first of them is reset, and that is seen before the next one is sent. One that its client sends again elsewhere
+/// would run twice.
+#[test]
+fn nothing_more_is_forwarded_for_a_client_that_left_with_much_unread() {
+    for (class, count) in [("fetch", 3_000), ("log", 3_000), ("bill", 3_000), ("bill", 300)] {
+        let go = Arc::new(AtomicUsize::new(0));
+        let wait = go.clone();
+        let upstream = Upstream::new(move |_| Deed::Wait(wait.clone()));
+        let (sidecar, _discovery) = Sidecar::with(&[&upstream]);
+        let stream = TcpStream::connect(sidecar.address).unwrap();
+        let mut writer = stream.try_clone().unwrap();
+        let (first, second, rest) = (request(class, 8_000), request(class, 8_000), pipeline(class, count));
+        let bytes = [first.as_bytes(), second.as_bytes(), &rest].concat();
+        let writing = std::thread::spawn(move || writer.write_all(&bytes));
+        until("the first has arrived", || upstream.requests().len() == 1);
+        std::thread::sleep(Duration::from_millis(200));
+        // What is not written yet is never written, and the end is behind all that was.
+        stream.shutdown(Shutdown::Both).unwrap();
+        drop(stream);
+        let _ = writing.join().unwrap();
+        std::thread::sleep(Duration::from_millis(200));
+        go.store(1, Ordering::SeqCst);
+        std::thread::sleep(Duration::from_millis(300));
+        let mut again = Client::to(sidecar.address);
+        again.write(second.as_bytes());
+        assert_eq!(again.read().map(|answer| answer.status()), Some(200));
+        let ids: Vec<_> =
+            upstream.requests().iter().map(|got| got.header("x-request-id").map(str::to_owned)).collect();
+        assert_eq!(ids.len(), 2, "of {count} requests of {class} and one that came again ran {ids:?}");
+    }
+}
+
+/// Guards against retries for a client whose close nobody can see, because the kernel has no room for it behind what is
+/// unread. A client that stays is answered all the same.
+#[test]
+fn nothing_is_retried_for_a_client_that_may_have_left_behind_a_full_buffer() {
+    for leaves in [true, false] {
+        let arrived = Arc::new(AtomicUsize::new(0));
+        let upstreams = [0, 1].map(|_| {
+            let arrived = arrived.clone();
+            Upstream::new(move |_| {
+                arrived.fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(400));
+                Deed::Close
+            })
+        });
+        let (sidecar, _discovery) = Sidecar::with(&upstreams.each_ref());
+        let mut client = Client::to(sidecar.address);
+        let mut writer = client.reader.get_ref().try_clone().unwrap();
+        let writing = std::thread::spawn(move || writer.write_all(&pipeline("fetch", 20_000)));
+        until("the first has arrived", || arrived.load(Ordering::SeqCst) == 1);
+        std::thread::sleep(Duration::from_millis(200));
+        if !leaves {
+            assert!(client.read().is_some_and(|answer| answer.status() >= 500), "it is answered");
+        }
+        let before = arrived.load(Ordering::SeqCst);
+        client.reader.get_ref().shutdown(Shutdown::Both).unwrap();
+        drop(client);
+        let _ = writing.join().unwrap();
+        std::thread::sleep(Duration::from_millis(1_000));
+        let forwarded = arrived.load(Ordering::SeqCst) - before;
+        assert!(forwarded <= usize::from(!leaves), "{forwarded} requests were forwarded, leaves: {leaves}");
+    }
+}
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -24,6 +24,9 @@
 /// The memory that bytes read ahead while a request is being answered may take. Behind more than this a close shows only
 /// by the event that the kernel sends for it.
 const READ_AHEAD_BYTES: usize = 64 << 10;
+/// So long after a client was last known to be there, nothing more is sent for it where its close cannot be seen. An
+/// attempt may begin 100 ms after the close; the rest is for the write.
+const MOST_OUT_OF_SIGHT: Duration = Duration::from_millis(80);
 /// One read ahead takes in so much.
 const READ_AHEAD_STEP: usize = 4 << 10;
 /// A peer that takes less of its output than this has stopped reading.
@@ -70,6 +73,9 @@
     queued_since: Option<Instant>,
     /// Whether the server was given anything.
     has_given: bool,
+    /// When the client was last known to be there: nothing lay unread and it had not closed, or output was written that
+    /// it would have reset.
+    seen: Instant,
     /// Where the memory for all but the first step of the pieces comes from.
     pool: MemoryPool,
     /// Reservations of a step each.
@@ -82,17 +88,18 @@
         self.pieces.iter().map(|piece| piece.bytes.len() + PIECE_OVERHEAD_BYTES).sum()
     }
 
-    /// How many more bytes may be read ahead. Reserves memory for them, as far as there is any.
+    /// How many more bytes may be read ahead. Where there is no room it reserves a further step, as far as there is memory.
     fn room(&mut self) -> usize {
         let next_piece = self.memory() + PIECE_OVERHEAD_BYTES;
-        let steps = Ahead::steps_for((next_piece + READ_AHEAD_STEP).min(READ_AHEAD_BYTES));
-        while self.reserved.len() < steps
-            && let Some(reservation) = self.pool.try_reserve(READ_AHEAD_STEP)
-        {
-            self.reserved.push(reservation);
+        if self.allowed() <= next_piece && self.allowed() < READ_AHEAD_BYTES {
+            self.reserved.extend(self.pool.try_reserve(READ_AHEAD_STEP));
         }
-        let allowed = READ_AHEAD_STEP * (1 + self.reserved.len());
-        allowed.min(READ_AHEAD_BYTES).saturating_sub(next_piece)
+        self.allowed().saturating_sub(next_piece)
+    }
+
+    /// The memory that the pieces may take now: a step, and what is reserved.
+    fn allowed(&self) -> usize {
+        READ_AHEAD_STEP * (1 + self.reserved.len())
     }
 
     /// The steps that have to be reserved for so much memory.
@@ -134,6 +141,7 @@
             given: Instant::now(),
             queued_since: queued_since.filter(|_| stream.has_unread()),
             has_given: false,
+            seen: Instant::now(),
             pool,
             reserved: Vec::new(),
         };
@@ -187,7 +195,10 @@
                 self.ahead().push(&chunk[..read]);
                 Ok(())
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                self.ahead().seen = Instant::now();
+                Ok(())
+            }
             Err(error) => Err(error),
         }
     }
@@ -203,7 +214,11 @@
                 self.ahead().push(&chunk[..read]);
                 Ok(true)
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock || lacks_memory(&error) => Ok(false),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                self.ahead().seen = Instant::now();
+                Ok(false)
+            }
+            Err(error) if lacks_memory(&error) => Ok(false),
             Err(error) => Err(error),
         }
     }
@@ -278,7 +293,10 @@
         loop {
             let room = self.ahead().room();
             if room == 0 {
-                return false;
+                // The end may be there behind more than is read ahead, or not even that where the kernel's buffer is
+                // full: then nobody can tell whether the client is there.
+                let is_out_of_sight = self.ahead().seen.elapsed() > MOST_OUT_OF_SIGHT;
+                return is_out_of_sight || self.shared.stream.is_closed_now();
             }
             match self.read_ahead_now(room) {
                 Ok(true) => {}
@@ -300,6 +318,9 @@
         }
         let read = self.shared.stream.poll_receive_into(context, buffer);
         let mut ahead = self.ahead();
+        if read.is_pending() {
+            ahead.seen = Instant::now();
+        }
         if read.is_ready() {
             ahead.given = ahead.came();
             ahead.has_given = true;
@@ -324,7 +345,10 @@
         let length = slices.iter().map(|slice| slice.len()).sum();
         let sent = self.shared.stream.poll_send(context, slices);
         match &sent {
-            Poll::Ready(Ok(written)) => self.wrote(length, Some(*written)),
+            Poll::Ready(Ok(written)) => {
+                self.ahead().seen = Instant::now();
+                self.wrote(length, Some(*written));
+            }
             Poll::Pending => self.wrote(length, None),
             Poll::Ready(Err(_)) => {}
         }
--- a/crates/node/src/fronts/http/socket_tests.rs
+++ b/crates/node/src/fronts/http/socket_tests.rs
@@ -48,6 +48,21 @@
     assert!(socket.has_disconnected());
 }
 
+/// Guards against a close that is overlooked because it lies behind more than is read ahead.
+#[tokio::test]
+async fn a_client_that_has_closed_behind_more_than_is_read_ahead_has_left() {
+    for resets in [false, true] {
+        let (mut client, socket) = connected().await;
+        client.write_all(&vec![b'x'; READ_AHEAD_BYTES + READ_AHEAD_STEP]).expect("written");
+        assert!(!socket.has_disconnected(), "it is there");
+        if resets {
+            socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("an option");
+        }
+        drop(client);
+        assert!(socket.has_disconnected(), "resets: {resets}");
+    }
+}
+
 /// What came before a connection was accepted counts from when it may have begun to wait, what came later from when it
 /// was read.
 #[tokio::test]
--- a/crates/node/src/socket/stream.rs
+++ b/crates/node/src/socket/stream.rs
@@ -91,6 +91,13 @@
         uninterrupted(|| self.calls.peek(&self.socket.socket(), &mut byte)).is_ok_and(|read| read > 0)
     }
 
+    /// Whether the peer has closed its sending side or the connection broke, even if earlier bytes are still
+    /// unread. Queries the kernel directly, like [`has_unread`](Stream::has_unread). An end that the kernel
+    /// has not received, because its buffer is full, does not show.
+    pub fn is_closed_now(&self) -> bool {
+        uninterrupted(|| self.calls.is_hung_up(&self.socket.socket())).unwrap_or(false)
+    }
+
     /// Closes the sending side. The peer still receives everything written before.
     pub fn end_sending(&self) -> io::Result<()> {
         match uninterrupted(|| self.calls.shutdown(&self.socket.socket(), Shutdown::Write)) {
--- a/crates/node/src/socket/system_calls.rs
+++ b/crates/node/src/socket/system_calls.rs
@@ -8,7 +8,9 @@
 use std::io::{self, IoSlice, Read};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::os::fd::AsFd;
 
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
 /// The system calls that TCP sockets make. All sockets are non-blocking: a call that cannot proceed at once
@@ -53,6 +55,17 @@
         socket.peek(buffer)
     }
 
+    /// Whether the peer has closed its sending side or the connection broke, whatever lies unread before that (poll(2)
+    /// with `POLLRDHUP`).
+    fn is_hung_up(&self, socket: &Socket) -> io::Result<bool> {
+        let peer_closed = PollFlags::from_bits_retain(libc::POLLRDHUP);
+        let mut polled = [PollFd::new(socket.as_fd(), peer_closed)];
+        poll(&mut polled, PollTimeout::ZERO)?;
+        // `PollFlags` has no name for `POLLRDHUP`, and `revents` returns `None` where that is set.
+        let broken = PollFlags::POLLHUP | PollFlags::POLLERR;
+        Ok(polled[0].revents().is_none_or(|events| events.intersects(broken)))
+    }
+
     /// Writes from several buffers. Returns how many bytes the kernel accepted.
     fn send(&self, socket: &Socket, slices: &[IoSlice<'_>]) -> io::Result<usize> {
         match slices {
