--- a/crates/node/src/config/tests.rs
+++ b/crates/node/src/config/tests.rs
@@ -50,6 +50,22 @@
     }
 }
 
+/// Guards against limits that connections and messages exceed together.
+#[test]
+fn the_memory_of_all_parts_sums_to_the_limit() {
+    for memory_mb in 32..=512 {
+        for (sockets, tls) in [(256, false), (1_024, false), (1_024, true), (65_536, true)] {
+            let limits = Limits { sockets, memory_mb };
+            let memory = limits.message_memory(tls);
+            let pools = memory.requests.bytes() + memory.answers.bytes() + memory.read_ahead.bytes();
+            let client_kib = CLIENT_KIB + if tls { TLS_KIB } else { 0 };
+            let connections_kib = limits.clients() * client_kib + limits.upstreams() * UPSTREAM_KIB;
+            let spent_kib = PROCESS_KIB + connections_kib + pools / 1_024;
+            assert!(spent_kib <= memory_mb * 1_024, "{memory_mb} MB, {sockets} descriptors: {spent_kib} KiB");
+        }
+    }
+}
+
 /// A configuration with every field that the program reads.
 const COMPLETE: &str = r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f","limits":{"memory_mb":64,
 "sockets":256},"known":{"seq":1,"whole":true,"hosts":[]},"settings":{"classes":[
--- a/crates/node/src/message_memory.rs
+++ b/crates/node/src/message_memory.rs
@@ -34,6 +34,11 @@
         MemoryPool { free: Arc::new(Semaphore::new(units as usize)), units }
     }
 
+    /// How much it has in all, reserved or not.
+    pub fn bytes(&self) -> usize {
+        self.units as usize * UNIT_BYTES
+    }
+
     /// Reserves memory, and waits until there is enough of it. Those who wait are served in their order. Nobody can
     /// reserve more than the pool has: whoever asks for more gets all of it.
     pub async fn reserve(&self, bytes: usize) -> Reservation {
