Read ahead in one function, and start test sidecars behind TLS in one place

The tests of TLS share start_behind_tls and tls_address (the address was looked up in the log three times), and limited_config holds the configuration that two tests wrote out. The most units of a pool have a name; two comments are brought up to date. No test lost an assertion.

--- a/crates/harelock/tests/limited_memory/mod.rs
+++ b/crates/harelock/tests/limited_memory/mod.rs
@@ -25,13 +25,17 @@
     let upstreams = alike(servers, deed);
     let known = ready(&upstreams.iter().collect::<Vec<_>>());
     let discovery = Discovery::new(&known);
-    let text = config("127.0.0.1:0", discovery.address, &known, descriptors, settings)
-        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
-    let sidecar = Sidecar::start(&text);
+    let sidecar = Sidecar::start(&limited_config(&discovery, &known, descriptors, settings));
     sidecar.wait_up();
     (sidecar, discovery, upstreams)
 }
 
+/// A configuration file with the smallest limit on memory.
+pub fn limited_config(discovery: &Discovery, known: &str, descriptors: usize, settings: &str) -> String {
+    config("127.0.0.1:0", discovery.address, known, descriptors, settings)
+        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"))
+}
+
 /// The private memory of a process.
 pub fn memory_kib(process: u32) -> usize {
     let status = read_to_string(format!("/proc/{process}/status")).expect("it runs");
--- a/crates/harelock/tests/tls.rs
+++ b/crates/harelock/tests/tls.rs
@@ -82,13 +82,28 @@
         let (cert, key) = (file(&pair.cert), file(&pair.key));
         let operator = format!("{{{}{sections}}}", section(&cert, &key, more));
         let (sidecar, _discovery) = Sidecar::with_operator(&[upstream], &operator);
-        let log = sidecar.log.lock().unwrap().concat();
-        let (_, rest) = log.split_once("handshakes on ").unwrap();
-        let address = rest.lines().next().unwrap().trim().parse().unwrap();
+        let address = tls_address(&sidecar);
         Stage { sidecar, address, cert, key, _discovery }
     }
 }
 
+/// Where the port for TLS is.
+fn tls_address(sidecar: &Sidecar) -> SocketAddr {
+    let log = sidecar.log.lock().unwrap().concat();
+    let (_, rest) = log.split_once("handshakes on ").unwrap();
+    rest.lines().next().unwrap().trim().parse().unwrap()
+}
+
+/// Starts a sidecar with this configuration and a port for TLS, and waits until it is up.
+fn start_behind_tls(config: &str, ca: &Ca) -> (Sidecar, SocketAddr) {
+    let pair = ca.server(1);
+    let operator = format!("{{{}}}", section(&file(&pair.cert), &file(&pair.key), ""));
+    let sidecar = Sidecar::operated(config, &operator);
+    sidecar.wait_up();
+    let address = tls_address(&sidecar);
+    (sidecar, address)
+}
+
 fn section(cert: &std::path::Path, key: &std::path::Path, more: &str) -> String {
     let (cert, key) = (cert.display(), key.display());
     format!(r#""tls":{{"port":0,"cert_file":"{cert}","key_file":"{key}","reload_s":1{more}}}"#)
@@ -317,15 +332,10 @@
 
 /// A sidecar with a third of 64 descriptors for clients of both ports, and where its port for TLS is.
 fn with_few_places(upstream: &Upstream, ca: &Ca) -> (Sidecar, SocketAddr, Discovery) {
-    let pair = ca.server(1);
     let known = ready(&[upstream]);
     let discovery = Discovery::new(&known);
     let text = config("127.0.0.1:0", discovery.address, &known, 64, SETTINGS);
-    let operator = format!("{{{}}}", section(&file(&pair.cert), &file(&pair.key), ""));
-    let sidecar = Sidecar::operated(&text, &operator);
-    sidecar.wait_up();
-    let log = sidecar.log.lock().unwrap().concat();
-    let address = log.split_once("handshakes on ").unwrap().1.lines().next().unwrap().trim().parse().unwrap();
+    let (sidecar, address) = start_behind_tls(&text, ca);
     (sidecar, address, discovery)
 }
 
@@ -444,19 +454,12 @@
 /// A sidecar with a port for TLS and the smallest memory limit, before servers with long answers.
 fn limited_stage() -> (Sidecar, Discovery, Vec<Upstream>, SocketAddr, Ca) {
     let ca = Ca::new();
-    let pair = ca.server(1);
-    let operator = format!("{{{}}}", section(&file(&pair.cert), &file(&pair.key), ""));
     let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG_BODY}\r\n\r\n{}", "x".repeat(LONG_BODY));
     let upstreams = alike(60, &Deed::Raw(answer.into_bytes()));
     let known = ready(&upstreams.iter().collect::<Vec<_>>());
     let discovery = Discovery::new(&known);
-    let text = config("127.0.0.1:0", discovery.address, &known, 1_024, SETTINGS)
-        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
-    let sidecar = Sidecar::operated(&text, &operator);
-    sidecar.wait_up();
-    let log = sidecar.log.lock().unwrap().concat();
-    let (_, rest) = log.split_once("handshakes on ").unwrap();
-    let address = rest.lines().next().unwrap().trim().parse().unwrap();
+    let text = limited_config(&discovery, &known, 1_024, SETTINGS);
+    let (sidecar, address) = start_behind_tls(&text, &ca);
     (sidecar, discovery, upstreams, address, ca)
 }
 
--- a/crates/node/src/body.rs
+++ b/crates/node/src/body.rs
@@ -70,9 +70,10 @@
 {
     let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
     let most = length.map_or(MAX_BODY_BYTES, |length| length.min(MAX_BODY_BYTES));
+    let reserve = async || memory.reserve(most).await.ok_or(ReadBodyError::NoMemory);
     let mut reservation = None;
     if memory.head_bytes > UNRESERVED_HEAD_BYTES {
-        reservation = Some(memory.reserve(most).await.ok_or(ReadBodyError::NoMemory)?);
+        reservation = Some(reserve().await?);
     }
     let mut content = Vec::new();
     while let Some(frame) = body.frame().await {
@@ -81,7 +82,7 @@
             return Err(ReadBodyError::TooLong);
         }
         if reservation.is_none() && content.len() + data.len() > UNRESERVED_BODY_BYTES {
-            reservation = Some(memory.reserve(most).await.ok_or(ReadBodyError::NoMemory)?);
+            reservation = Some(reserve().await?);
             content.reserve_exact(length.map_or(0, |_| most - content.len()));
         }
         append(&mut content, &data);
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -32,7 +32,8 @@
 
 /// Descriptors of the process itself: three standard streams, two listeners, six of the runtime (poller, waker, signal
 /// pipe), two watches of discovery while it moves, two calls to it that were given up, two sockets for datagrams and a
-/// configuration that is read again. That is 18, and a margin for connections that are closed a moment after their place was given on.
+/// configuration that is read again. That is 18, and a margin for connections that are closed a moment after their place
+/// was given on.
 const OWN_SOCKETS: usize = 24;
 /// What a busy connection may hold: its buffer, a body each way, and the same again towards the upstream.
 const CONNECTION_KIB: usize = 256;
--- a/crates/node/src/fronts/http/socket.rs
+++ b/crates/node/src/fronts/http/socket.rs
@@ -22,7 +22,7 @@
 use crate::socket::{MEMORY_RETRY, Readiness, Stream, lacks_memory};
 
 /// The memory that bytes read ahead while a request is being answered may take. Behind more than this a close shows only
-/// by the event that the kernel sends for it.
+/// by what the kernel says of the connection.
 const READ_AHEAD_BYTES: usize = 64 << 10;
 /// So long after a client was last known to be there, nothing more is sent for it where its close cannot be seen. An
 /// attempt may begin 100 ms after the close; the rest is for the write.
@@ -172,8 +172,8 @@
             if readiness == Readiness::Closed {
                 return true;
             }
-            match self.read_ahead(room) {
-                Ok(()) => {}
+            match self.read_ahead(room, Stream::try_receive) {
+                Ok(_) => {}
                 Err(error) if lacks_memory(&error) => sleep(MEMORY_RETRY).await,
                 Err(_) => return true,
             }
@@ -185,30 +185,16 @@
         self.shared.stream.readable().await;
     }
 
-    /// Reads what is there, up to `room`. An error is the end of the connection, unless memory is lacking.
-    fn read_ahead(&self, room: usize) -> io::Result<()> {
+    /// Reads what is there, up to `room`. Whether there was anything; an error is the end of the connection, unless memory
+    /// is lacking.
+    fn read_ahead(
+        &self,
+        room: usize,
+        receive: impl FnOnce(&Stream, &mut [u8]) -> io::Result<usize>,
+    ) -> io::Result<bool> {
         let mut chunk = [0; READ_AHEAD_STEP];
         let step = room.min(READ_AHEAD_STEP);
-        match self.shared.stream.try_receive(&mut chunk[..step]) {
-            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(read) => {
-                self.ahead().push(&chunk[..read]);
-                Ok(())
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                self.ahead().seen = Instant::now();
-                Ok(())
-            }
-            Err(error) => Err(error),
-        }
-    }
-
-    /// Reads what is there, up to `room`, past the runtime. Whether there was anything, as far as there is memory to tell;
-    /// an error is the end of the connection.
-    fn read_ahead_now(&self, room: usize) -> io::Result<bool> {
-        let mut chunk = [0; READ_AHEAD_STEP];
-        let step = room.min(READ_AHEAD_STEP);
-        match self.shared.stream.receive_now(&mut chunk[..step]) {
+        match receive(&self.shared.stream, &mut chunk[..step]) {
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(read) => {
                 self.ahead().push(&chunk[..read]);
@@ -218,7 +204,6 @@
                 self.ahead().seen = Instant::now();
                 Ok(false)
             }
-            Err(error) if lacks_memory(&error) => Ok(false),
             Err(error) => Err(error),
         }
     }
@@ -298,9 +283,10 @@
                 let is_out_of_sight = self.ahead().seen.elapsed() > MOST_OUT_OF_SIGHT;
                 return is_out_of_sight || self.shared.stream.is_closed_now();
             }
-            match self.read_ahead_now(room) {
+            match self.read_ahead(room, Stream::receive_now) {
                 Ok(true) => {}
                 Ok(false) => return false,
+                Err(error) if lacks_memory(&error) => return false,
                 Err(_) => return true,
             }
         }
--- a/crates/node/src/message_memory.rs
+++ b/crates/node/src/message_memory.rs
@@ -19,6 +19,8 @@
 const MIN_POOL_BYTES: usize = 2 * MAX_BODY_BYTES;
 /// What one permit of a pool stands for.
 const UNIT_BYTES: usize = 1 << 10;
+/// As many permits as a semaphore may have on any platform.
+const MAX_UNITS: u32 = u32::MAX >> 3;
 
 /// An amount of memory that connections share.
 #[derive(Debug, Clone)]
@@ -30,7 +32,7 @@
 impl MemoryPool {
     /// A pool of so many bytes, rounded down to whole KiB but not to none.
     pub fn new(bytes: usize) -> MemoryPool {
-        let units = u32::try_from(bytes / UNIT_BYTES).unwrap_or(u32::MAX >> 3).clamp(1, u32::MAX >> 3);
+        let units = u32::try_from(bytes / UNIT_BYTES).unwrap_or(MAX_UNITS).clamp(1, MAX_UNITS);
         MemoryPool { free: Arc::new(Semaphore::new(units as usize)), units }
     }
 
